--- /dev/null
+++ b/core/model/ids.go
@@ -0,0 +1,98 @@
+package model
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// InstanceID is the name of an instance, from its settings.
+type InstanceID string
+
+// TargetID is the name of a published target.
+type TargetID string
+
+// GroupID is the name of a published target group.
+type GroupID string
+
+// RouteID is the name of a published route.
+type RouteID string
+
+// PlaceID is the name of a published place, that is, a data centre.
+type PlaceID string
+
+// Incarnation numbers the lives of one instance or target. A later life has a
+// higher number.
+type Incarnation uint64
+
+// SnapshotVersion is a version of the index; a newer one has a higher number.
+type SnapshotVersion uint64
+
+// CallID identifies a call between the driver and the core of one process.
+type CallID uint64
+
+// WorkID identifies one unit of work for one target in the process that sends
+// it to the target.
+type WorkID uint64
+
+// WorkRef identifies one unit of work between instances. Origin and its
+// incarnation make it unique across restarts.
+type WorkRef struct {
+	Origin      InstanceID
+	Incarnation Incarnation
+	Seq         uint64
+}
+
+// BookingID names the only instance incarnation that may run a booking.
+type BookingID struct {
+	Owner       InstanceID
+	Incarnation Incarnation
+	Counter     uint64
+}
+
+// String returns the form <instance>.<incarnation>.<counter>.
+func (b BookingID) String() string {
+	return fmt.Sprintf("%s.%d.%d", b.Owner, b.Incarnation, b.Counter)
+}
+
+// ParseBookingID reads the form that String writes. The instance name may
+// contain dots.
+func ParseBookingID(s string) (BookingID, error) {
+	rest, counterText, ok := cutLast(s, '.')
+	if !ok {
+		return BookingID{}, badBookingID(s)
+	}
+	owner, incarnationText, ok := cutLast(rest, '.')
+	if !ok || owner == "" {
+		return BookingID{}, badBookingID(s)
+	}
+	counter, err := strconv.ParseUint(counterText, 10, 64)
+	if err != nil {
+		return BookingID{}, badBookingID(s)
+	}
+	incarnation, err := strconv.ParseUint(incarnationText, 10, 64)
+	if err != nil {
+		return BookingID{}, badBookingID(s)
+	}
+	id := BookingID{Owner: InstanceID(owner), Incarnation: Incarnation(incarnation), Counter: counter}
+	if id.String() != s {
+		return BookingID{}, badBookingID(s)
+	}
+	return id, nil
+}
+
+func cutLast(s string, sep byte) (before, after string, found bool) {
+	i := strings.LastIndexByte(s, sep)
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
+func badBookingID(s string) error {
+	return &Error{
+		Kind:      KindBadBookingID,
+		Execution: NotRun,
+		Message:   fmt.Sprintf("%q is not a booking id; get one with POST /v1/booking-ids", s),
+	}
+}
--- /dev/null
+++ b/testbed/cmd/testbed-demo/main.go
@@ -0,0 +1,4 @@
+// Command testbed-demo runs the demonstration with separate processes.
+package main
+
+func main() {}
