--- /dev/null
+++ b/core/objects/index.go
@@ -0,0 +1,174 @@
+package objects
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// index finds the objects of a set by name. It is built once, when the set
+// passes the check, and never changed; it is never iterated over, so that map
+// order cannot influence a result.
+type index struct {
+	// owner is the set that the index belongs to. A copy of a set that is then
+	// changed must not use the index of the original.
+	owner   *Set
+	places  map[string]*Place
+	groups  map[string]*TargetGroup
+	routes  map[string]*Route
+	targets map[string]targetEntry
+	out     map[string]bool
+}
+
+type targetEntry struct {
+	target *Target
+	group  *TargetGroup
+}
+
+// ownIndex returns the index of this set, or nil if the set has not passed the
+// check or is a copy.
+func (s *Set) ownIndex() *index {
+	if s.index == nil || s.index.owner != s {
+		return nil
+	}
+	return s.index
+}
+
+// finish sorts the set into canonical order and builds the index.
+func (s *Set) finish() {
+	s.sort()
+	x := &index{
+		owner:   s,
+		places:  make(map[string]*Place, len(s.Places)),
+		groups:  make(map[string]*TargetGroup, len(s.Groups)),
+		routes:  make(map[string]*Route, len(s.Routes)),
+		targets: map[string]targetEntry{},
+		out:     map[string]bool{},
+	}
+	s.index = nil
+	for i := range s.Places {
+		p := &s.Places[i]
+		x.places[p.Name] = p
+		if s.PlaceOut(p.Name) {
+			x.out[p.Name] = true
+		}
+	}
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		x.groups[g.Name] = g
+		for j := range g.Targets {
+			x.targets[g.Targets[j].Name] = targetEntry{target: &g.Targets[j], group: g}
+		}
+	}
+	for i := range s.Routes {
+		x.routes[s.Routes[i].Name] = &s.Routes[i]
+	}
+	s.index = x
+}
+
+// sort puts every list whose order has no meaning in order by name.
+func (s *Set) sort() {
+	slices.SortFunc(s.Places, func(a, b Place) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Groups, func(a, b TargetGroup) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Routes, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Orders, func(a, b Order) int { return strings.Compare(a.Name, b.Name) })
+	for i := range s.Groups {
+		slices.SortFunc(s.Groups[i].Targets, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
+	}
+	for i := range s.Routes {
+		slices.Sort(s.Routes[i].Groups)
+	}
+}
+
+// clone returns a deep copy without an index.
+func (s *Set) clone() *Set {
+	c := *s
+	c.index = nil
+	c.Places = slices.Clone(s.Places)
+	c.Groups = slices.Clone(s.Groups)
+	c.Routes = slices.Clone(s.Routes)
+	c.Orders = slices.Clone(s.Orders)
+	for i := range c.Groups {
+		c.Groups[i].Targets = slices.Clone(c.Groups[i].Targets)
+	}
+	for i := range c.Routes {
+		c.Routes[i].Groups = slices.Clone(c.Routes[i].Groups)
+	}
+	for i := range c.Orders {
+		c.Orders[i].Steps = slices.Clone(c.Orders[i].Steps)
+	}
+	return &c
+}
+
+// Place returns the named place, or nil. The result must not be changed. Like
+// the other lookups, it takes constant time on a set that has passed the check
+// and scans any other set.
+func (s *Set) Place(name string) *Place {
+	if x := s.ownIndex(); x != nil {
+		return x.places[name]
+	}
+	for i := range s.Places {
+		if s.Places[i].Name == name {
+			return &s.Places[i]
+		}
+	}
+	return nil
+}
+
+// Group returns the named target group, or nil. The result must not be changed.
+func (s *Set) Group(name string) *TargetGroup {
+	if x := s.ownIndex(); x != nil {
+		return x.groups[name]
+	}
+	for i := range s.Groups {
+		if s.Groups[i].Name == name {
+			return &s.Groups[i]
+		}
+	}
+	return nil
+}
+
+// Route returns the named route, or nil. The result must not be changed.
+func (s *Set) Route(name string) *Route {
+	if x := s.ownIndex(); x != nil {
+		return x.routes[name]
+	}
+	for i := range s.Routes {
+		if s.Routes[i].Name == name {
+			return &s.Routes[i]
+		}
+	}
+	return nil
+}
+
+// Target returns the named target and its group, or nil. The results must not
+// be changed.
+func (s *Set) Target(name string) (*Target, *TargetGroup) {
+	if x := s.ownIndex(); x != nil {
+		e := x.targets[name]
+		return e.target, e.group
+	}
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		for j := range g.Targets {
+			if g.Targets[j].Name == name {
+				return &g.Targets[j], g
+			}
+		}
+	}
+	return nil, nil
+}
+
+// InService reports whether the set lets the target get new work: it is not
+// set to drain and its place is not taken out.
+func (s *Set) InService(t *Target) bool { return !t.Drain && !s.PlaceOut(t.Place) }
+
+// Equal reports whether both sets have the same exported contents.
+func (s *Set) Equal(other *Set) bool {
+	if s == nil || other == nil {
+		return s == other
+	}
+	a, b := *s, *other
+	a.index, b.index = nil, nil
+	return reflect.DeepEqual(a, b)
+}
--- a/core/objects/limits.go
+++ b/core/objects/limits.go
@@ -5,6 +5,8 @@
 // Limits holds the published limits of the tier. A set has at most one limits
 // object; fields that it leaves out take the values of DefaultLimits.
 type Limits struct {
+	// Name is the name of the limits object.
+	Name string
 	// MaxBudget is the longest time that a call may ask for.
 	MaxBudget time.Duration
 	// MaxBodyBytes is the largest body of a call, in bytes.
@@ -31,6 +33,7 @@
 // DefaultLimits returns the limits of a set without a limits object.
 func DefaultLimits() Limits {
 	return Limits{
+		Name:               "limits",
 		MaxBudget:          10 * time.Second,
 		MaxBodyBytes:       64 << 10,
 		MaxInFlight:        512,
@@ -43,3 +46,24 @@
 		ReservationTTL:     10 * time.Minute,
 	}
 }
+
+// Bounds of the values that a set may hold. They refuse values that are
+// plainly mistakes, such as a wrong unit; they are no advice.
+const (
+	minMaxBudget      = time.Millisecond
+	maxMaxBudget      = 5 * time.Minute
+	maxMaxBodyBytes   = 16 << 20
+	maxMaxInFlight    = 1 << 20
+	maxWarmStep       = 1000
+	minReservationTTL = time.Second
+	maxReservationTTL = 24 * time.Hour
+	// maxAnswerReserve leaves at least half of the budget for the targets.
+	maxAnswerReserve = 0.5
+	maxConnectTime   = 10 * time.Second
+	maxSlots         = 4096
+	// maxConnections is the number of TCP ports of one address.
+	maxConnections = 65535
+	// MaxGeneration is the largest generation. Larger integers are not exact
+	// in JSON readers that use floating point.
+	MaxGeneration = 1<<53 - 1
+)
--- /dev/null
+++ b/core/objects/load.go
@@ -0,0 +1,138 @@
+package objects
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// maxFileBytes bounds one object file. A source file may be larger than the
+// canonical form because of its white space.
+const maxFileBytes = 8 << 20
+
+// Source is a set as read from object files.
+type Source struct {
+	// Set has passed the check, but has no generation and no digest yet.
+	Set *Set
+	// Files are the files read, sorted.
+	Files []string
+}
+
+// Load reads object files, and all files named *.json below directories, and
+// checks them as one set. The source is nil if there are findings. Findings
+// are sorted by file and line.
+func Load(paths []string) (*Source, []Finding) {
+	d := newDecoder()
+	files := d.collect(paths)
+	for _, file := range files {
+		d.loadFile(file)
+	}
+	findings := d.findings
+	switch {
+	case len(findings) == 0 && d.draft.empty():
+		findings = []Finding{{
+			Code: CodeNoObjects, File: strings.Join(paths, " "),
+			Message: "there are no objects", Remedy: "name object files or a directory with *.json files",
+		}}
+	default:
+		findings = append(findings, checkDraft(d.draft)...)
+	}
+	if len(findings) > 0 {
+		sortFindings(findings)
+		return nil, findings
+	}
+	set := &d.draft.set
+	set.finish()
+	return &Source{Set: set, Files: files}, nil
+}
+
+// empty reports whether the draft has no object at all.
+func (d *draft) empty() bool { return len(d.origins) == 0 }
+
+// collect returns the files to read, sorted and without repeats.
+func (d *decoder) collect(paths []string) []string {
+	var files []string
+	for _, path := range paths {
+		info, err := os.Stat(path)
+		if err != nil {
+			d.reportUnreadable(path, err)
+			continue
+		}
+		if !info.IsDir() {
+			files = append(files, filepath.Clean(path))
+			continue
+		}
+		err = filepath.WalkDir(path, func(file string, entry fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			hidden := strings.HasPrefix(entry.Name(), ".") && file != path
+			switch {
+			case entry.IsDir() && hidden:
+				return fs.SkipDir
+			case !entry.IsDir() && !hidden && filepath.Ext(file) == ".json":
+				files = append(files, filepath.Clean(file))
+			}
+			return nil
+		})
+		if err != nil {
+			d.reportUnreadable(path, err)
+		}
+	}
+	slices.Sort(files)
+	return slices.Compact(files)
+}
+
+func (d *decoder) reportUnreadable(path string, err error) {
+	d.file = path
+	d.report(0, CodeUnreadable, "", "", err.Error(), "correct the path or its permissions")
+}
+
+// loadFile adds one object or an array of objects to the draft.
+func (d *decoder) loadFile(path string) {
+	d.file = path
+	raw, err := readFile(path)
+	if err != nil {
+		d.reportUnreadable(path, err)
+		return
+	}
+	tree, err := readTree(raw)
+	if err != nil {
+		d.report(tree.line, CodeSyntax, "", "", "the file is not valid JSON: "+err.Error(), "correct the JSON text")
+		return
+	}
+	if items, ok := tree.value.([]node); ok {
+		d.objectList(items)
+		return
+	}
+	d.object(tree)
+}
+
+func readFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err == nil && len(raw) > maxFileBytes {
+		err = fmt.Errorf("%s is larger than %d bytes", path, maxFileBytes)
+	}
+	return raw, err
+}
+
+// sortFindings sorts by file, line, object and field. Findings about one field
+// keep their order.
+func sortFindings(findings []Finding) {
+	slices.SortStableFunc(findings, func(a, b Finding) int {
+		return cmp.Or(
+			strings.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line),
+			strings.Compare(a.Object, b.Object), strings.Compare(a.Field, b.Field),
+		)
+	})
+}
--- a/core/objects/set.go
+++ b/core/objects/set.go
@@ -19,6 +19,9 @@
 	Routes []Route
 	Orders []Order
 	Limits Limits
+
+	// index is built when the set passes the check.
+	index *index
 }
 
 // Place is a data centre.
@@ -97,9 +100,13 @@
 
 // PlaceOut reports whether the steps in force take the place out of service.
 func (s *Set) PlaceOut(place string) bool {
+	if x := s.ownIndex(); x != nil {
+		return x.out[place]
+	}
 	out := false
 	for i := range s.Orders {
-		for _, step := range s.Orders[i].Steps[:s.Orders[i].InForce] {
+		order := &s.Orders[i]
+		for _, step := range order.Steps[:min(max(order.InForce, 0), len(order.Steps))] {
 			if step.Place == place {
 				out = step.Action == StepLeave
 			}
