--- a/core/objects/bundle.go
+++ b/core/objects/bundle.go
@@ -10,11 +10,16 @@
 	"time"
 )
 
+// maxParseFindings bounds the findings of Parse in each of its two stages. An
+// instance logs them; a bundle that is no bundle at all could give a finding
+// for every two bytes.
+const maxParseFindings = 100
+
 // Bundle returns the canonical form of the set with the generation and the
 // digest. The set is not changed. The error is a *CheckError.
 func Bundle(set *Set, generation uint64) ([]byte, error) {
 	c := set.clone()
-	findings := checkDraft(&draft{set: *c})
+	findings := checkDraft(&draft{set: *c}, 0)
 	if generation < 1 || generation > MaxGeneration {
 		findings = append(findings, generationFinding(strconv.FormatUint(generation, 10)))
 	}
@@ -27,7 +32,7 @@
 
 // Parse reads a canonical bundle, as the configuration service holds it, and
 // runs the whole check, generation and digest included. The set is nil if
-// there are findings.
+// there are findings. Other than Load, Parse may stop after maxParseFindings.
 func Parse(raw []byte) (*Set, []Finding) {
 	if len(raw) > MaxSetBytes {
 		return nil, []Finding{{
@@ -37,8 +42,9 @@
 		}}
 	}
 	d := newDecoder()
+	d.findings.limit = maxParseFindings
 	generation, digest := d.bundle(raw)
-	findings := append(d.findings, checkDraft(d.draft)...)
+	findings := append(d.findings.list, checkDraft(d.draft, maxParseFindings)...)
 	if len(findings) > 0 {
 		return nil, findings
 	}
@@ -67,12 +73,14 @@
 func (d *decoder) bundle(raw []byte) (generation uint64, digest string) {
 	tree, err := readTree(raw)
 	if err != nil {
+		d.draft.partial = true
 		d.report(0, CodeSyntax, "", "", "the bundle is not valid JSON: "+err.Error(),
 			"make the bundle with galenadyke bundle")
 		return 0, ""
 	}
 	members, ok := tree.value.([]member)
 	if !ok {
+		d.draft.partial = true
 		d.report(0, CodeWrongType, "", "", "a bundle is an object, found "+tree.typeName(),
 			"make the bundle with galenadyke bundle")
 		return 0, ""
@@ -84,7 +92,7 @@
 		number, _ := n.value.(json.Number)
 		v, err := strconv.ParseUint(number.String(), 10, 64)
 		if err != nil || v < 1 || v > MaxGeneration {
-			d.findings = append(d.findings, generationFinding(clip(number.String())))
+			d.findings.add(generationFinding(clip(number.String())))
 		}
 		generation = v
 	}
@@ -92,8 +100,8 @@
 	d.objectList(r.array("objects"))
 	r.reportUnknown()
 	// The line of a bundle, which has one line only, says nothing.
-	for i := range d.findings {
-		d.findings[i].Line = 0
+	for i := range d.findings.list {
+		d.findings.list[i].Line = 0
 	}
 	for _, o := range d.draft.origins {
 		o.line = 0
--- a/core/objects/check.go
+++ b/core/objects/check.go
@@ -11,7 +11,7 @@
 // is no finding, Check puts the lists in canonical order and builds the index;
 // the set must not be changed from then on.
 func Check(set *Set) []Finding {
-	findings := checkDraft(&draft{set: *set})
+	findings := checkDraft(&draft{set: *set}, 0)
 	if len(findings) == 0 {
 		set.finish()
 	}
@@ -25,17 +25,20 @@
 	set      *Set
 	places   map[string]bool
 	groups   map[string]*TargetGroup
-	findings []Finding
+	findings findingList
 }
 
 // checkDraft returns the findings about references, values and orders. Fields
-// that the decoder has refused get no second finding.
-func checkDraft(d *draft) []Finding {
+// that the decoder has refused get no second finding. A limit of 0 means all
+// findings.
+func checkDraft(d *draft, limit int) []Finding {
 	c := &checker{
 		draft:  d,
 		set:    &d.set,
 		places: map[string]bool{},
 		groups: map[string]*TargetGroup{},
+
+		findings: findingList{limit: limit},
 	}
 	c.checkPlaces()
 	c.checkGroups()
@@ -44,14 +47,14 @@
 	c.checkOrders()
 	c.checkService()
 	c.checkSize()
-	return c.findings
+	return c.findings.list
 }
 
 // report adds a finding about a field of an object, unless the decoder has
 // already refused the field or a value around it.
 func (c *checker) report(at ref, field string, code Code, message, remedy string) {
 	f := Finding{
-		Code: code, Object: strings.TrimSpace(string(at.kind) + " " + c.name(at)), Field: field,
+		Code: code, Object: objectLabel(at.kind, c.name(at)), Field: field,
 		Message: message, Remedy: remedy,
 	}
 	if o := c.draft.origins[at]; o != nil {
@@ -65,7 +68,7 @@
 			}
 		}
 	}
-	c.findings = append(c.findings, f)
+	c.findings.add(f)
 }
 
 // parentPath returns the path of the value that holds the field: a for a[1],
@@ -214,17 +217,17 @@
 	switch {
 	case place == "":
 		c.report(at, field, CodeMissingField, "the place is empty", "name a place of the set")
-	case !c.places[place]:
+	case !c.places[place] && !c.draft.partial:
 		c.report(at, field, CodeBrokenReference, fmt.Sprintf("there is no place %q", clip(place)),
 			"correct the name or add the place to the set")
 	}
 }
 
 func (c *checker) checkRoutes() {
-	if len(c.set.Routes) == 0 {
+	if len(c.set.Routes) == 0 && !c.draft.partial {
 		// Most likely a part of the files was left out. In force, such a set
 		// would refuse every call.
-		c.findings = append(c.findings, Finding{
+		c.findings.add(Finding{
 			Code: CodeNoRoutes, Message: "the set has no routes",
 			Remedy: "name all files of the set, or add a route",
 		})
@@ -257,6 +260,8 @@
 		field := fmt.Sprintf("groups[%d]", i)
 		g := c.groups[name]
 		switch {
+		case g == nil && c.draft.partial:
+			continue
 		case g == nil:
 			c.report(at, field, CodeBrokenReference, fmt.Sprintf("there is no target group %q", clip(name)),
 				"correct the name or add the group to the set")
@@ -331,14 +336,14 @@
 
 // checkSize checks the size of the canonical form of an otherwise good set.
 func (c *checker) checkSize() {
-	if len(c.findings) > 0 {
+	if len(c.findings.list) > 0 {
 		return
 	}
 	sorted := c.set.clone()
 	sorted.sort()
 	size := len(seal(sorted, MaxGeneration))
 	if size > MaxSetBytes {
-		c.findings = append(c.findings, Finding{
+		c.findings.add(Finding{
 			Code:    CodeTooLarge,
 			Message: fmt.Sprintf("the canonical form has %d bytes, the limit is %d", size, MaxSetBytes),
 			Remedy:  "shorten names or remove unused objects",
--- a/core/objects/decode.go
+++ b/core/objects/decode.go
@@ -29,13 +29,28 @@
 	set     Set
 	origins map[ref]*origin
 	limits  int // number of limits objects
+	// partial says that a file could not be read, so that a reference to an
+	// object that is not in the draft proves nothing.
+	partial bool
 }
 
 // decoder adds the objects of one file or bundle after the other to a draft.
 type decoder struct {
 	file     string
 	draft    *draft
-	findings []Finding
+	findings findingList
+}
+
+// findingList collects findings up to a limit.
+type findingList struct {
+	list  []Finding
+	limit int // 0: no limit
+}
+
+func (l *findingList) add(f Finding) {
+	if l.limit == 0 || len(l.list) < l.limit {
+		l.list = append(l.list, f)
+	}
 }
 
 func newDecoder() *decoder {
@@ -46,7 +61,7 @@
 }
 
 func (d *decoder) report(line int, code Code, object, field, message, remedy string) {
-	d.findings = append(d.findings, Finding{
+	d.findings.add(Finding{
 		Code: code, File: d.file, Line: line, Object: object, Field: field,
 		Message: message, Remedy: remedy,
 	})
@@ -70,9 +85,9 @@
 	r := newReader(d, n.line, members)
 	var kind, name string
 	r.text("kind", &kind)
-	r.object = kind
+	r.object = clip(kind)
 	r.text("name", &name)
-	r.object = strings.TrimSpace(kind + " " + name)
+	r.object = objectLabel(Kind(kind), name)
 	r.reportRepeated()
 	r.require("kind", "name")
 	if kind == "" {
@@ -90,7 +105,7 @@
 	case KindLimits:
 		d.limits(r, name)
 	default:
-		r.report("kind", CodeUnknownKind, fmt.Sprintf("there is no kind %q", kind),
+		r.report("kind", CodeUnknownKind, fmt.Sprintf("there is no kind %q", clip(kind)),
 			"use place, target_group, route, order or limits")
 		return
 	}
@@ -243,14 +258,14 @@
 	if name != "" {
 		r.origin.bad[path] = true
 	}
-	r.decoder.report(line, code, r.object, strings.TrimSuffix(path, "."), message, remedy)
+	r.decoder.report(line, code, r.object, clip(strings.TrimSuffix(path, ".")), message, remedy)
 }
 
 func (r *reader) reportRepeated() {
 	seen := map[string]bool{}
 	for _, m := range r.members {
 		if seen[m.name] {
-			r.report(m.name, CodeRepeatedField, fmt.Sprintf("the field %q is given twice", m.name),
+			r.report(m.name, CodeRepeatedField, fmt.Sprintf("the field %q is given twice", clip(m.name)),
 				"keep one of them")
 		}
 		seen[m.name] = true
@@ -262,7 +277,7 @@
 	for _, m := range r.members {
 		if !r.known[m.name] {
 			r.known[m.name] = true
-			r.report(m.name, CodeUnknownField, fmt.Sprintf("there is no field %q here", m.name),
+			r.report(m.name, CodeUnknownField, fmt.Sprintf("there is no field %q here", clip(m.name)),
 				"remove it or correct its spelling")
 		}
 	}
@@ -395,6 +410,11 @@
 	return items
 }
 
+// objectLabel names an object in findings.
+func objectLabel(kind Kind, name string) string {
+	return strings.TrimSpace(clip(string(kind)) + " " + clip(name))
+}
+
 // clip shortens a value for a message.
 func clip(s string) string {
 	const limit = 80
--- a/core/objects/finding.go
+++ b/core/objects/finding.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode"
 )
 
 // Code is the stable identifier of a kind of finding. Scripts may rely on it;
@@ -73,7 +74,7 @@
 		parts = append(parts, subject)
 	}
 	parts = append(parts, f.Message+"; "+f.Remedy+" ["+string(f.Code)+"]")
-	return strings.Join(parts, ": ")
+	return printable(strings.Join(parts, ": "))
 }
 
 // CheckError says that a set was refused.
@@ -90,3 +91,14 @@
 	}
 	return strings.Join(lines, "\n")
 }
+
+// printable replaces control characters, which a name in a faulty file may
+// hold, so that a finding stays on its line.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return unicode.ReplacementChar
+	}, s)
+}
--- a/core/objects/load.go
+++ b/core/objects/load.go
@@ -15,6 +15,10 @@
 // canonical form because of its white space.
 const maxFileBytes = 8 << 20
 
+// partialRemedy is part of the remedy for a file that could not be read: a
+// finding for each reference to its objects would hide the real ones.
+const partialRemedy = "missing objects are reported once every file can be read"
+
 // Source is a set as read from object files.
 type Source struct {
 	// Set has passed the check, but has no generation and no digest yet.
@@ -32,7 +36,7 @@
 	for _, file := range files {
 		d.loadFile(file)
 	}
-	findings := d.findings
+	findings := d.findings.list
 	switch {
 	case len(findings) == 0 && d.draft.empty():
 		findings = []Finding{{
@@ -40,7 +44,7 @@
 			Message: "there are no objects", Remedy: "name object files or a directory with *.json files",
 		}}
 	default:
-		findings = append(findings, checkDraft(d.draft)...)
+		findings = append(findings, checkDraft(d.draft, 0)...)
 	}
 	if len(findings) > 0 {
 		sortFindings(findings)
@@ -90,7 +94,8 @@
 
 func (d *decoder) reportUnreadable(path string, err error) {
 	d.file = path
-	d.report(0, CodeUnreadable, "", "", err.Error(), "correct the path or its permissions")
+	d.draft.partial = true
+	d.report(0, CodeUnreadable, "", "", err.Error(), "correct the path or its permissions; "+partialRemedy)
 }
 
 // loadFile adds one object or an array of objects to the draft.
@@ -103,7 +108,9 @@
 	}
 	tree, err := readTree(raw)
 	if err != nil {
-		d.report(tree.line, CodeSyntax, "", "", "the file is not valid JSON: "+err.Error(), "correct the JSON text")
+		d.draft.partial = true
+		d.report(tree.line, CodeSyntax, "", "", "the file is not valid JSON: "+err.Error(),
+			"correct the JSON text; "+partialRemedy)
 		return
 	}
 	if items, ok := tree.value.([]node); ok {
--- a/core/objects/set.go
+++ b/core/objects/set.go
@@ -118,7 +118,7 @@
 // Newer reports whether s comes after other in the total order of sets:
 // higher generation first, then higher digest. Every set is newer than nil.
 func (s *Set) Newer(other *Set) bool {
-	if other == nil {
+	if s == nil || other == nil {
 		return s != nil
 	}
 	if s.Generation != other.Generation {
