Add the operator's command: check, bundle, diff, plan, status, search, book

Cause: operators had no way to check, publish or follow a set. Commands of other packages are appended in the main by a line. A booking whose outcome is unknown prints its id, so that it can be repeated without running twice.

--- /dev/null
+++ b/ctl/client/client.go
@@ -0,0 +1,160 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+const (
+	// maxAnswerBytes bounds the answer that is read.
+	maxAnswerBytes = 64 << 20
+	// maxIdleConnections is the number of open connections kept for reuse.
+	maxIdleConnections = 64
+	// answerGrace is the time beyond the deadline of a call for which its
+	// answer is awaited.
+	answerGrace = 2 * time.Second
+	// shortTimeout is the longest time for a call without a deadline.
+	shortTimeout = 5 * time.Second
+)
+
+// Client calls one instance. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the instance at an IP address and port.
+func New(address string) (*Client, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 {
+		return nil, fmt.Errorf("%q is not an IP number and port; write it like 127.0.0.1:8080", address)
+	}
+	return &Client{
+		base: "http://" + parsed.String(),
+		http: &http.Client{
+			// A proxy or a redirect could send a booking a second time.
+			Transport:     &http.Transport{MaxIdleConnsPerHost: maxIdleConnections},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Search runs a search. The request id may be empty.
+func (c *Client) Search(ctx context.Context, requestID string, req SearchRequest) (*SearchAnswer, error) {
+	return post[SearchAnswer](ctx, c, "/v1/search", requestID, req, deadline(req.DeadlineMS))
+}
+
+// Book runs a booking. A call with the same booking id never runs it twice.
+func (c *Client) Book(ctx context.Context, requestID string, req BookRequest) (*BookAnswer, error) {
+	return post[BookAnswer](ctx, c, "/v1/book", requestID, req, deadline(req.DeadlineMS))
+}
+
+// BookingIDs gets unused booking ids.
+func (c *Client) BookingIDs(ctx context.Context, count int) (*BookingIDs, error) {
+	answer, err := post[BookingIDs](ctx, c, "/v1/booking-ids", "", bookingIDRequest{Count: count}, shortTimeout)
+	if err == nil && len(answer.IDs) != count {
+		return nil, &Error{
+			Kind: KindTransport, Execution: NotRun,
+			Message: fmt.Sprintf("asked for %d booking ids, got %d; repeat the call", count, len(answer.IDs)),
+		}
+	}
+	return answer, err
+}
+
+// Status reads the state of the instance.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	return call[Status](ctx, c, http.MethodGet, "/v1/status", "", nil, shortTimeout)
+}
+
+func deadline(ms int64) time.Duration { return time.Duration(ms)*time.Millisecond + answerGrace }
+
+func post[Answer any](ctx context.Context, c *Client, path, requestID string, request any, timeout time.Duration) (*Answer, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, &Error{Kind: KindTransport, Execution: NotRun, Message: "the request is not valid JSON: " + err.Error()}
+	}
+	return call[Answer](ctx, c, http.MethodPost, path, requestID, body, timeout)
+}
+
+func call[Answer any](ctx context.Context, c *Client, method, path, requestID string, body []byte, timeout time.Duration) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &Error{Kind: KindTransport, Execution: NotRun, Message: err.Error()}
+	}
+	// Without GetBody the transport cannot replay the request.
+	req.GetBody = nil
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if requestID != "" {
+		req.Header.Set("X-Request-Id", requestID)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, sendError(err, requestID)
+	}
+	defer resp.Body.Close()
+	raw, err := readAnswer(resp.Body)
+	if err != nil {
+		return nil, &Error{Kind: KindTransport, Execution: Unknown, Message: "read answer: " + err.Error(), RequestID: requestID}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, callError(resp.Status, raw, requestID)
+	}
+	var answer Answer
+	if err := json.Unmarshal(raw, &answer); err != nil {
+		return nil, &Error{Kind: KindTransport, Execution: Unknown, Message: "decode answer: " + err.Error(), RequestID: requestID}
+	}
+	return &answer, nil
+}
+
+// sendError reports a request as not run only if no connection was made.
+func sendError(err error, requestID string) *Error {
+	execution := Unknown
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		execution = NotRun
+	}
+	return &Error{Kind: KindTransport, Execution: execution, Message: err.Error(), RequestID: requestID}
+}
+
+func readAnswer(r io.Reader) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err == nil && len(raw) > maxAnswerBytes {
+		err = errors.New("the answer is too large")
+	}
+	return raw, err
+}
+
+// callError decodes the error of an instance. An answer in another form, as
+// from a balancer, says nothing about the execution.
+func callError(status string, raw []byte, requestID string) *Error {
+	var answer errorAnswer
+	err := json.Unmarshal(raw, &answer)
+	if err != nil || answer.Error.Kind == "" {
+		return &Error{
+			Kind: KindTransport, Execution: Unknown, RequestID: requestID,
+			Message: fmt.Sprintf("the answer is %s without an error of the tier; check the address", status),
+		}
+	}
+	answer.Error.RequestID = answer.RequestID
+	switch answer.Error.Execution {
+	case NotRun, Ran:
+	default:
+		answer.Error.Execution = Unknown
+	}
+	return &answer.Error
+}
--- /dev/null
+++ b/ctl/client/error.go
@@ -0,0 +1,38 @@
+package client
+
+import "fmt"
+
+// Execution says what is known about the effect of a call.
+type Execution string
+
+// The values of Execution.
+const (
+	NotRun  Execution = "not_run"
+	Ran     Execution = "ran"
+	Unknown Execution = "unknown"
+)
+
+// KindTransport is the kind of an error that did not come from an instance:
+// the call could not be sent, or its answer could not be read.
+const KindTransport = "Transport"
+
+// Error is a failed call.
+type Error struct {
+	// ID and Kind identify the error, for example GD-204 and Overloaded. ID is
+	// empty for KindTransport.
+	ID        string    `json:"id,omitempty"`
+	Kind      string    `json:"kind"`
+	Execution Execution `json:"execution"`
+	// Message says what is wrong and what to do about it.
+	Message string `json:"message"`
+	// RequestID is the id under which the instance handled the call.
+	RequestID string `json:"request_id,omitempty"`
+}
+
+func (e *Error) Error() string {
+	id := e.Kind
+	if e.ID != "" {
+		id = e.ID + " " + e.Kind
+	}
+	return fmt.Sprintf("%s (%s): %s", id, e.Execution, e.Message)
+}
--- /dev/null
+++ b/ctl/client/forms.go
@@ -0,0 +1,115 @@
+package client
+
+import "encoding/json"
+
+// SearchRequest is the body of POST /v1/search.
+type SearchRequest struct {
+	Route string `json:"route"`
+	// Query is any JSON value.
+	Query      json.RawMessage `json:"query"`
+	DeadlineMS int64           `json:"deadline_ms"`
+}
+
+// SearchAnswer is the answer to a search.
+type SearchAnswer struct {
+	RequestID string       `json:"request_id"`
+	Snapshot  uint64       `json:"snapshot"`
+	Coverage  Coverage     `json:"coverage"`
+	Parts     []SearchPart `json:"parts"`
+	Stats     SearchStats  `json:"stats"`
+	ElapsedMS float64      `json:"elapsed_ms"`
+}
+
+// Coverage says which part of the snapshot was searched.
+type Coverage struct {
+	Searched int      `json:"searched"`
+	Total    int      `json:"total"`
+	Fraction float64  `json:"fraction"`
+	Missing  []string `json:"missing"`
+}
+
+// SearchPart is the answer of one group.
+type SearchPart struct {
+	Group  string          `json:"group"`
+	Target string          `json:"target"`
+	Result json.RawMessage `json:"result"`
+}
+
+// SearchStats counts what a search cost.
+type SearchStats struct {
+	SubRequests int `json:"sub_requests"`
+	Hedges      int `json:"hedges"`
+	Retries     int `json:"retries"`
+	Restarts    int `json:"restarts"`
+}
+
+// BookRequest is the body of POST /v1/book.
+type BookRequest struct {
+	Route     string `json:"route"`
+	BookingID string `json:"booking_id"`
+	// Booking is any JSON value.
+	Booking    json.RawMessage `json:"booking"`
+	DeadlineMS int64           `json:"deadline_ms"`
+}
+
+// BookAnswer is the answer to a booking that ran.
+type BookAnswer struct {
+	RequestID string    `json:"request_id"`
+	BookingID string    `json:"booking_id"`
+	Execution Execution `json:"execution"`
+	Target    string    `json:"target"`
+	// Repeat says that the outcome is that of an earlier call.
+	Repeat    bool            `json:"repeat"`
+	Result    json.RawMessage `json:"result"`
+	ElapsedMS float64         `json:"elapsed_ms"`
+}
+
+// bookingIDRequest is the body of POST /v1/booking-ids.
+type bookingIDRequest struct {
+	Count int `json:"count"`
+}
+
+// BookingIDs is a list of unused booking ids.
+type BookingIDs struct {
+	IDs     []string `json:"booking_ids"`
+	ValidMS int64    `json:"valid_ms"`
+}
+
+// Status is the answer to GET /v1/status.
+type Status struct {
+	Instance       string         `json:"instance"`
+	Incarnation    uint64         `json:"incarnation"`
+	Place          string         `json:"place"`
+	Ready          bool           `json:"ready"`
+	Reason         string         `json:"reason"`
+	Generation     uint64         `json:"generation"`
+	Digest         string         `json:"digest"`
+	ConfirmedAgeMS float64        `json:"confirmed_age_ms"`
+	Members        []MemberStatus `json:"members"`
+	Targets        []TargetStatus `json:"targets"`
+}
+
+// MemberStatus is another instance as seen by one.
+type MemberStatus struct {
+	ID        string `json:"id"`
+	Status    string `json:"status"`
+	Suspected bool   `json:"suspected"`
+}
+
+// TargetStatus is a target as seen by one instance.
+type TargetStatus struct {
+	Name        string `json:"name"`
+	Group       string `json:"group"`
+	Lead        string `json:"lead"`
+	Level       int    `json:"level"`
+	Slots       int    `json:"slots"`
+	Draining    bool   `json:"draining"`
+	Out         bool   `json:"out"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// errorAnswer is the body of every answer that is not 200.
+type errorAnswer struct {
+	RequestID string `json:"request_id"`
+	Error     Error  `json:"error"`
+}
--- a/ctl/cmd/galenadyke/main.go
+++ b/ctl/cmd/galenadyke/main.go
@@ -1,4 +1,21 @@
 // Command galenadyke is the command of operators and developers.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"galenadyke.dev/ctl/command"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	env := command.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
+	commands := command.All(env)
+	// Commands of other packages are appended here, one line each.
+	return command.Run(ctx, env, os.Args[1:], commands...)
+}
--- /dev/null
+++ b/ctl/command/command_test.go
@@ -0,0 +1,237 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"galenadyke.dev/ctl/client"
+	"github.com/google/go-cmp/cmp"
+)
+
+const lagos = "../../examples/lagos"
+
+// run runs the command line and returns its exit code and standard output.
+func run(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	env := Environment{Stdin: strings.NewReader(`{"from":"stdin"}`), Stdout: &stdout, Stderr: &stderr}
+	code := Run(context.Background(), env, args, All(env)...)
+	if code == 2 && (stdout.Len() > 0 || stderr.Len() == 0) {
+		t.Errorf("%v: usage belongs on standard error only; output %q", args, stdout.String())
+	}
+	return code, stdout.String()
+}
+
+// Scripts decide by the exit code whether to publish.
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad.json")
+	if err := os.WriteFile(bad, []byte(`[{"kind":"place"}]`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		args []string
+		want int
+	}{
+		{[]string{"check", lagos}, 0},
+		{[]string{"check", lagos, "--json"}, 0},
+		{[]string{"check", bad}, 1},
+		{[]string{"check", filepath.Join(dir, "none.json")}, 1},
+		{[]string{"check", dir, lagos}, 1},
+		{[]string{"check"}, 2},
+		{[]string{"check", lagos, "--unknown"}, 2},
+		{[]string{"bundle", lagos}, 2},
+		{[]string{"bundle", "--generation", "1", bad}, 1},
+		{[]string{"diff", lagos}, 2},
+		{[]string{"diff", lagos, bad}, 1},
+		{[]string{"plan", "--groups", lagos}, 0},
+		{[]string{"status"}, 2},
+		{[]string{"status", "--instances", "localhost:8080"}, 2},
+		{[]string{"search", "--instance", "127.0.0.1:1"}, 2},
+		{[]string{"search", "--instance", "127.0.0.1:1", "--route", "r", "--query", "{"}, 2},
+		{[]string{"book", "--instance", "127.0.0.1:1", "--route", "r", "--deadline", "0s"}, 2},
+		{[]string{"none"}, 2},
+		{nil, 2},
+	}
+	for _, c := range cases {
+		if got, out := run(t, c.args...); got != c.want {
+			t.Errorf("%v: exit code %d, want %d; output %q", c.args, got, c.want, out)
+		}
+	}
+}
+
+// A bundle that a command cannot read back, or a diff that hides that a bundle
+// cannot replace the other, would make a publication fail in silence.
+func TestBundleAndDiff(t *testing.T) {
+	dir := t.TempDir()
+	one, two := filepath.Join(dir, "one.json"), filepath.Join(dir, "two.json")
+	code, summaryLine := run(t, "bundle", "--generation", "2", "--out", two, lagos)
+	if code != 0 || !strings.Contains(summaryLine, "generation 2, digest ") {
+		t.Fatalf("bundle: %d %q", code, summaryLine)
+	}
+	written, _ := os.ReadFile(two)
+	if code, out := run(t, "bundle", two, "--generation", "2"); code != 0 || out != string(written) {
+		t.Errorf("the bundle of a bundle differs (exit code %d)", code)
+	}
+	limits := filepath.Join(dir, "limits.json")
+	if err := os.WriteFile(limits, []byte(`{"kind":"limits","name":"limits","warm_step":9}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	files, _ := filepath.Glob(lagos + "/*[^s].json") // without limits.json and places.json
+	args := append([]string{"bundle", "--generation", "1", "--out", one, limits, lagos + "/places.json"}, files...)
+	if code, out := run(t, args...); code != 0 {
+		t.Fatal(out)
+	}
+	code, out := run(t, "diff", "--json", two, one)
+	var report diffReport
+	if err := json.Unmarshal([]byte(out), &report); err != nil || code != 0 {
+		t.Fatalf("diff: %d %v", code, err)
+	}
+	if len(report.Changes) != 1 || report.Changes[0].After != "9" || report.Warning == "" {
+		t.Errorf("diff: %+v, warning %q", report.Changes, report.Warning)
+	}
+	if err := os.WriteFile(one, append(written, ' '), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out := run(t, "check", one); code != 1 || !strings.Contains(out, one) || !strings.Contains(out, "not-canonical") {
+		t.Errorf("check of a changed bundle: %d %q", code, out)
+	}
+}
+
+// instance is a stand-in for an instance's HTTP interface.
+func instance(t *testing.T, handlers map[string]http.HandlerFunc) string {
+	mux := http.NewServeMux()
+	for pattern, h := range handlers {
+		mux.HandleFunc(pattern, h)
+	}
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func reply(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func statusOf(t *testing.T, s client.Status) string {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return instance(t, map[string]http.HandlerFunc{"GET /v1/status": reply(http.StatusOK, string(raw))})
+}
+
+// During a migration the operator goes by this report: an instance that stayed
+// behind or a target that is still cold must not be left out.
+func TestStatus(t *testing.T) {
+	members := []client.MemberStatus{{ID: "a", Status: "serving"}, {ID: "b", Status: "serving"}}
+	cold := client.TargetStatus{Name: "t1", Group: "g", Lead: "b", Level: 1, Slots: 2}
+	a := client.Status{
+		Instance: "a", Ready: true, Generation: 3, Digest: strings.Repeat("f", 64), ConfirmedAgeMS: 10, Members: members,
+		Targets: []client.TargetStatus{{Name: "t1", Group: "g", Lead: "b", Level: 2, Slots: 2}, {Name: "t2", Lead: "a", Level: 2, Slots: 2}},
+	}
+	b := a
+	b.Instance, b.Targets = "b", []client.TargetStatus{cold, a.Targets[1]}
+	addresses := statusOf(t, a) + "," + statusOf(t, b)
+	if code, out := run(t, "status", "--instances", addresses); code != 0 || !strings.Contains(out, "1 of 2") {
+		t.Errorf("good fleet: %d\n%s", code, out)
+	}
+	c := b
+	c.Instance, c.Generation, c.Ready, c.Reason, c.ConfirmedAgeMS = "c", 2, false, "Unconfirmed", 9000
+	c.Targets = []client.TargetStatus{{Name: "t2", Lead: "c", Slots: 2, Out: true, Draining: true}}
+	code, out := run(t, "status", "--json", "--instances", addresses+","+statusOf(t, c)+",127.0.0.1:1")
+	var report fleetReport
+	if err := json.Unmarshal([]byte(out), &report); err != nil || code != 1 {
+		t.Fatalf("status: %d %v", code, err)
+	}
+	var got []string
+	for _, p := range report.Problems {
+		got = append(got, string(p.Kind)+" "+p.Subject)
+	}
+	want := []string{
+		"not-ready c", "confirmation-old c", "unreachable 127.0.0.1:1", "configuration-behind c",
+		"members-differ a", "members-differ b", "leads-differ t2",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("problems (-want +got):\n%s", diff)
+	}
+	state := targetState(c.Targets[0])
+	if diff := cmp.Diff([]string{"out", "draining", "down"}, state); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+}
+
+// A search must show a coverage below 100 % and pass its arguments on.
+func TestSearch(t *testing.T) {
+	var got client.SearchRequest
+	address := instance(t, map[string]http.HandlerFunc{"POST /v1/search": func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewDecoder(r.Body).Decode(&got)
+		reply(http.StatusOK, `{"request_id":"`+r.Header.Get("X-Request-Id")+`","snapshot":7,
+			"coverage":{"searched":39,"total":40,"fraction":0.975,"missing":["g2"]},
+			"parts":[{"group":"g1","target":"t1","result":[1]}],"stats":{"sub_requests":2,"retries":1}}`)(w, r)
+	}})
+	code, out := run(t, "search", "--instance", address, "--route", "r", "--query", "-", "--deadline", "250ms", "--request-id", "x1")
+	for _, text := range []string{"39 of 40 partitions (97.5 %)", "missing: g2", "request x1", "1 retry"} {
+		if code != 0 || !strings.Contains(out, text) {
+			t.Errorf("exit code %d, no %q in\n%s", code, text, out)
+		}
+	}
+	want := client.SearchRequest{Route: "r", Query: json.RawMessage(`{"from":"stdin"}`), DeadlineMS: 250}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("request (-want +got):\n%s", diff)
+	}
+}
+
+// A booking whose outcome is unknown must keep its id, or the operator would
+// book a second time. One that the tier did not answer is never "not run".
+func TestBook(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		code   int
+		want   []string
+	}{
+		"ran":       {200, `{"booking_id":"a.1.1","execution":"ran","target":"t1","repeat":false,"result":{}}`, 0, []string{"ran", "a.1.1", "t1"}},
+		"unknown":   {504, `{"request_id":"q","error":{"id":"GD-404","kind":"Deadline","execution":"unknown","message":"m"}}`, 1, []string{"unknown", "GD-404", "--booking-id a.1.1"}},
+		"not run":   {503, `{"error":{"id":"GD-204","kind":"Overloaded","execution":"not_run","message":"m"}}`, 1, []string{"not_run", "Overloaded"}},
+		"balancer":  {502, `<html>`, 1, []string{"unknown", "--booking-id a.1.1"}},
+		"redirect":  {307, ``, 1, []string{"unknown", "--booking-id a.1.1"}},
+		"cut short": {200, `{"booking_id"`, 1, []string{"unknown", "--booking-id a.1.1"}},
+	}
+	for name, c := range cases {
+		calls := 0
+		address := instance(t, map[string]http.HandlerFunc{
+			"POST /v1/booking-ids": reply(200, `{"booking_ids":["a.1.1"],"valid_ms":600000}`),
+			"POST /v1/book": func(w http.ResponseWriter, r *http.Request) {
+				calls++
+				w.Header().Set("Location", "/v1/book")
+				reply(c.status, c.body)(w, r)
+			},
+		})
+		code, out := run(t, "book", "--instance", address, "--route", "r", "--booking", `{"n":1}`)
+		if code != c.code || calls != 1 {
+			t.Errorf("%s: exit code %d, %d calls", name, code, calls)
+		}
+		for _, text := range c.want {
+			if !strings.Contains(out, text) {
+				t.Errorf("%s: no %q in\n%s", name, text, out)
+			}
+		}
+	}
+	code, out := run(t, "book", "--json", "--instance", "127.0.0.1:1", "--route", "r")
+	if code != 1 || !strings.Contains(out, fmt.Sprintf("%q", client.NotRun)) {
+		t.Errorf("refused connection: %d %s", code, out)
+	}
+}
--- /dev/null
+++ b/ctl/command/plan.go
@@ -0,0 +1,122 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"strings"
+
+	"galenadyke.dev/core/objects"
+	"github.com/google/subcommands"
+)
+
+// planCommand shows what each step of each order does to every route.
+type planCommand struct {
+	env    Environment
+	json   bool
+	groups bool
+}
+
+func (*planCommand) Name() string     { return "plan" }
+func (*planCommand) Synopsis() string { return "show what each step of an order leaves in service" }
+func (*planCommand) Usage() string {
+	return `plan [--json] [--groups] PATH...
+  Show, for each step of each order and each route, the targets, slots and
+  connections in service before and after the step, the number of groups left
+  with one target and with none, and the highest coverage that is possible if
+  every group holds an equal part of the index.
+`
+}
+
+func (c *planCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.json, "json", false, "print JSON")
+	f.BoolVar(&c.groups, "groups", false, "name the groups left with one target")
+}
+
+func (c *planCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	paths, err := positional(f)
+	if err != nil || len(paths) == 0 {
+		return c.env.usage(c, "name at least one file or directory")
+	}
+	src := readSource(paths)
+	if src.set == nil {
+		return c.env.refuse(c, src.findings, c.json)
+	}
+	steps := append([]objects.PlanStep{}, objects.Plan(src.set)...)
+	if c.json {
+		err = c.env.printJSON(struct {
+			Steps []objects.PlanStep `json:"steps"`
+		}{steps})
+	} else {
+		err = c.print(steps)
+	}
+	if err != nil {
+		return c.env.fail(c, err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *planCommand) print(steps []objects.PlanStep) error {
+	if len(steps) == 0 {
+		_, err := fmt.Fprintln(c.env.Stdout, "the set has no orders")
+		return err
+	}
+	t := newTable(c.env.Stdout, "ORDER", "STEP", "ACTION", "PLACE", "IN FORCE", "ROUTE", "TARGETS", "SLOTS",
+		"CONNECTIONS", "ONE TARGET", "NO TARGET", "COVERAGE")
+	var notes []string
+	for _, s := range steps {
+		for _, r := range s.Routes {
+			t.row(s.Order, fmt.Sprint(s.Number), string(s.Action), s.Place, yesNo(s.InForce), r.Route,
+				arrow(r.Before.Targets, r.After.Targets), arrow(r.Before.Slots, r.After.Slots),
+				arrow(r.Before.Connections, r.After.Connections),
+				fmt.Sprint(len(r.After.Single)), fmt.Sprint(len(r.After.Lost)),
+				percent(r.After.Coverage))
+			notes = append(notes, c.notes(s, r)...)
+		}
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	for _, note := range notes {
+		fmt.Fprintln(c.env.Stdout, note)
+	}
+	return nil
+}
+
+// notes names the groups that a step leaves without a target and, on request,
+// those with one.
+func (c *planCommand) notes(s objects.PlanStep, r objects.RouteEffect) []string {
+	var notes []string
+	add := func(text string, groups []string) {
+		if len(groups) > 0 {
+			notes = append(notes, fmt.Sprintf("%s step %d, route %s: %s: %s",
+				s.Order, s.Number, r.Route, text, strings.Join(groups, " ")))
+		}
+	}
+	add("no target", r.After.Lost)
+	if c.groups {
+		add("one target", r.After.Single)
+	}
+	return notes
+}
+
+func arrow(before, after int) string {
+	if before == after {
+		return fmt.Sprint(after)
+	}
+	return fmt.Sprintf("%d -> %d", before, after)
+}
+
+// percent rounds down, so that a part that is missing never shows as 100 %.
+func percent(share float64) string {
+	const steps = 1000 // tenths of a percent
+	return fmt.Sprintf("%.1f %%", math.Floor(share*steps)*100/steps)
+}
+
+func yesNo(v bool) string {
+	if v {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/ctl/command/table.go
@@ -0,0 +1,48 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+)
+
+// columnGap is the number of spaces between two columns.
+const columnGap = 2
+
+// table prints rows of cells in aligned columns.
+type table struct{ w *tabwriter.Writer }
+
+func newTable(w io.Writer, header ...string) *table {
+	t := &table{w: tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)}
+	t.row(header...)
+	return t
+}
+
+func (t *table) row(cells ...string) {
+	for i, cell := range cells {
+		cells[i] = printable(cell)
+	}
+	fmt.Fprintln(t.w, strings.TrimRight(strings.Join(cells, "\t"), "\t"))
+}
+
+func (t *table) flush() error { return t.w.Flush() }
+
+// printable replaces control characters, which an answer may hold.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return ' '
+	}, s)
+}
+
+// shorten cuts a text for a table.
+func shorten(s string, limit int) string {
+	if runes := []rune(s); len(runes) > limit {
+		return string(runes[:limit-3]) + "..."
+	}
+	return s
+}
