Add the control plane: members, leads, probes, configuration

The shell in core/fleet had no behaviour, and the data plane and the daemon need an instance that becomes ready. Rank members by rendezvous hash, adopt sets from the service and from peers, exchange state, assign and hand over leads, probe led targets, and stop gracefully.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,56 +1,318 @@
 package fleet
 
 import (
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"galenadyke.dev/core/model"
 	"galenadyke.dev/core/objects"
+	"galenadyke.dev/core/rank"
 	"galenadyke.dev/core/view"
 )
 
 // Fleet is the control plane of one instance. It is not safe for concurrent
 // use.
+//
+// Slices hold every collection whose order can influence an output; maps are
+// used for lookups only.
 type Fleet struct {
 	cfg model.CoreConfig
+	rng *rand.Rand
+
+	inbox  []model.Input
+	timers timerHeap
+	out    *[]model.Output // of the current call, nil outside
+
+	now      time.Duration // Boot of the current tick
+	last     model.Now     // previous tick
+	ticked   bool
+	lastWake time.Duration // NextWake after the previous tick
+
+	membership
+	exchanger
+	configuration
+	assignment
+	targets
+	readiness
+	stop
+	changes view.Changes
 }
 
 var _ view.View = (*Fleet)(nil)
 
 // New returns a control plane without a configuration.
-func New(cfg model.CoreConfig) *Fleet { return &Fleet{cfg: cfg} }
+func New(cfg model.CoreConfig) *Fleet {
+	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, rank.Hash(string(cfg.Self))))}
+	f.places = map[model.PlaceID]*place{}
+	f.byID = map[model.InstanceID]*member{}
+	f.byTarget = map[model.TargetID]*target{}
+	f.self = &member{
+		id: cfg.Self, hash: rank.Hash(string(cfg.Self)), address: cfg.Address,
+		incarnation: cfg.Incarnation, heartbeat: 1, known: true, reached: true,
+		place: f.place(cfg.Place),
+	}
+	f.number = f.self.heartbeat
+	f.byID[cfg.Self] = f.self
+	f.fullSync = fullSyncRounds
+	f.ready = view.Readiness{Kind: model.KindNotReady}
+	return f
+}
 
 // Step records an input for the next Tick.
-func (f *Fleet) Step(model.Input) {}
+func (f *Fleet) Step(in model.Input) { f.inbox = append(f.inbox, in) }
 
 // Tick runs the systems of the control plane and appends to out.
-func (f *Fleet) Tick(model.Now, *[]model.Output) view.Changes { return view.Changes{} }
+func (f *Fleet) Tick(now model.Now, out *[]model.Output) view.Changes {
+	f.begin(now, out)
+	f.detectSuspension(now)
+	for i, in := range f.inbox {
+		f.handle(in)
+		f.inbox[i] = nil
+	}
+	f.inbox = f.inbox[:0]
+	for {
+		t, ok := f.timers.popDue(f.now)
+		if !ok {
+			break
+		}
+		f.expire(t)
+	}
+	f.settle()
+	for _, call := range f.statusCalls {
+		f.emit(f.status(call))
+	}
+	f.statusCalls = f.statusCalls[:0]
+	f.last, f.ticked = now, true
+	f.lastWake = f.NextWake()
+	f.out = nil
+	return f.takeChanges()
+}
+
+func (f *Fleet) begin(now model.Now, out *[]model.Output) {
+	f.now = now.Boot
+	f.out = out
+	if !f.ticked {
+		f.startedAt = f.now
+	}
+}
+
+// settle runs the systems that depend on the results of several inputs. Each
+// depends only on those before it.
+func (f *Fleet) settle() {
+	f.openGate()
+	f.updateReadiness()
+	f.updateSelfEligibility()
+	f.assignLeads()
+	f.scheduleRead()
+	f.flushReleases()
+}
 
 // Report takes over the data plane's result of the same tick.
-func (f *Fleet) Report(model.Now, view.Report, *[]model.Output) {}
+func (f *Fleet) Report(now model.Now, r view.Report, out *[]model.Output) {
+	f.now, f.out = now.Boot, out
+	for i := range r.Observations {
+		f.observe(&r.Observations[i])
+	}
+	for i := range r.Drained {
+		f.drained(&r.Drained[i])
+	}
+	f.flushReleases()
+	f.finishStop(r.Idle)
+	f.lastWake = f.NextWake()
+	f.out = nil
+}
 
 // NextWake is the time on the Boot clock of the next timer.
-func (f *Fleet) NextWake() time.Duration { return model.NoWake }
+func (f *Fleet) NextWake() time.Duration {
+	if len(f.timers.entries) == 0 {
+		return model.NoWake
+	}
+	return f.timers.entries[0].at
+}
+
+func (f *Fleet) handle(in model.Input) {
+	switch in := in.(type) {
+	case model.PeerInput:
+		f.handlePeer(&in)
+	case model.PeerDown:
+		f.peerDown(in.Peer)
+	case model.ProbeReply:
+		f.probeReply(&in)
+	case model.ConfigResult:
+		f.configResult(&in)
+	case model.PeerConfig:
+		f.peerConfig(&in)
+	case model.InstanceList:
+		f.instanceList(&in)
+	case model.StatusCall:
+		f.statusCalls = append(f.statusCalls, in.Call)
+	case model.Shutdown:
+		f.shutdown()
+	}
+}
+
+func (f *Fleet) expire(t timer) {
+	switch t.kind {
+	case timerExchange:
+		f.exchangeRound(t.at)
+	case timerPing:
+		f.pingExpired(t.member)
+	case timerSuspicion:
+		f.suspicionExpired(t.member)
+	case timerHelper:
+		f.helperExpired(t.helper)
+	case timerRead:
+		f.readExpired(t.at)
+	case timerFetch:
+		f.fetchExpired()
+	case timerConfirm:
+		f.confirmExpired()
+	case timerFence:
+		// Readiness is computed at the end of each tick.
+	case timerHandover:
+		f.handoverExpired(t.target)
+	case timerProbe:
+		f.probeExpired(t.target)
+	case timerGate:
+		f.gateExpired()
+	case timerStopDelay:
+		f.stopDelayExpired()
+	case timerStopTimeout:
+		f.stopTimeoutExpired()
+	}
+}
+
+func (f *Fleet) handlePeer(in *model.PeerInput) {
+	m := f.byID[in.From]
+	if m == nil || m == f.self || !m.listed || !f.seenAlive(m, in.Incarnation) {
+		return
+	}
+	switch msg := in.Message.(type) {
+	case model.Exchange:
+		f.handleExchange(m, &msg)
+	case model.PingRequest:
+		f.pingRequest(m, &msg)
+	case model.PingReply:
+		f.pingReply(&msg)
+	case model.ConfigAnnounce:
+		f.configAnnounce(m, &msg)
+	case model.ConfigFetch:
+		f.configFetch(m, &msg)
+	case model.LeadRelease:
+		f.leadRelease(m, &msg)
+	}
+}
+
+func (f *Fleet) emit(o model.Output) { *f.out = append(*f.out, o) }
+
+func (f *Fleet) send(m *member, msg model.PeerMessage) {
+	f.emit(model.SendPeer{To: m.id, Address: m.address, Message: msg})
+}
+
+func (f *Fleet) event(name, subject, before, after string) {
+	f.emit(model.Event{Name: name, Subject: subject, Before: before, After: after})
+}
+
+func (f *Fleet) warn(name, subject, before, after string) {
+	f.emit(model.Event{Name: name, Subject: subject, Before: before, After: after, Warning: true})
+}
+
+// touch records that the lead, state or eligibility of a target changed.
+func (f *Fleet) touch(t *target) {
+	if !t.touched {
+		t.touched = true
+		f.dirtyTargets = append(f.dirtyTargets, t)
+	}
+}
+
+func (f *Fleet) lose(m *member) {
+	f.changes.LostPeers = append(f.changes.LostPeers, m.id)
+}
+
+func (f *Fleet) takeChanges() view.Changes {
+	for _, t := range f.dirtyTargets {
+		t.touched = false
+		f.changes.Targets = append(f.changes.Targets, t.id)
+	}
+	f.dirtyTargets = f.dirtyTargets[:0]
+	slices.Sort(f.changes.Targets)
+	slices.Sort(f.changes.LostPeers)
+	f.changes.LostPeers = slices.Compact(f.changes.LostPeers)
+	c := f.changes
+	f.changes = view.Changes{}
+	return c
+}
 
 // Set implements view.View.
-func (f *Fleet) Set() *objects.Set { return nil }
+func (f *Fleet) Set() *objects.Set { return f.set }
 
 // Readiness implements view.View.
-func (f *Fleet) Readiness() view.Readiness { return view.Readiness{Kind: model.KindNotReady} }
+func (f *Fleet) Readiness() view.Readiness { return f.ready }
 
-// Stopping implements view.View.
-func (f *Fleet) Stopping() bool { return false }
+// Stopping implements view.View. The balancer delay, in which the instance
+// still serves new calls, comes before.
+func (f *Fleet) Stopping() bool { return f.stopPhase >= stopFinishing }
 
 // Lead implements view.View.
-func (f *Fleet) Lead(model.TargetID) view.Lead { return view.Lead{} }
+func (f *Fleet) Lead(id model.TargetID) view.Lead {
+	t := f.byTarget[id]
+	if t == nil || t.lead == nil {
+		return view.Lead{}
+	}
+	self := t.lead == f.self
+	return view.Lead{
+		Instance: t.lead.id, Address: t.lead.address, Self: self,
+		Active: self && t.hold == holdActive && f.ready.OK,
+	}
+}
 
 // Target implements view.View.
-func (f *Fleet) Target(model.TargetID) view.TargetInfo { return view.TargetInfo{} }
+func (f *Fleet) Target(id model.TargetID) view.TargetInfo {
+	t := f.byTarget[id]
+	if t == nil {
+		return view.TargetInfo{}
+	}
+	return view.TargetInfo{
+		Known: t.known, Incarnation: t.state.Incarnation, Level: t.state.Level,
+		Draining: t.state.Draining, Versions: t.state.Versions,
+	}
+}
 
 // Eligible implements view.View.
-func (f *Fleet) Eligible(model.TargetID) bool { return false }
+func (f *Fleet) Eligible(id model.TargetID) bool {
+	t := f.byTarget[id]
+	return t != nil && !t.drain && !t.state.Draining && !t.place.out && !t.place.gated
+}
 
 // PeerAddress implements view.View.
-func (f *Fleet) PeerAddress(model.InstanceID) (string, bool) { return "", false }
+func (f *Fleet) PeerAddress(id model.InstanceID) (string, bool) {
+	m := f.byID[id]
+	if m == nil {
+		return "", false
+	}
+	return m.address, m.address != ""
+}
 
 // Successor implements view.View.
-func (f *Fleet) Successor() model.InstanceID { return "" }
+func (f *Fleet) Successor() model.InstanceID {
+	key := rank.Hash("booking:" + string(f.cfg.Self))
+	var best *member
+	var bestScore uint64
+	for _, m := range f.eligible {
+		if m == f.self {
+			continue
+		}
+		score := rank.Score(key, m.hash)
+		if best == nil || score > bestScore || score == bestScore && m.id < best.id {
+			best, bestScore = m, score
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.id
+}
+
+func compareMembers(a, b *member) int { return strings.Compare(string(a.id), string(b.id)) }
--- /dev/null
+++ b/core/fleet/limits.go
@@ -0,0 +1,68 @@
+package fleet
+
+import "time"
+
+// The limits of the control plane that are not part of the design page's
+// timing (see package view).
+const (
+	// readWait is the watch of a reader. The page allows up to 1 s; half of it
+	// leaves the other half of view.ConfirmMaxAge for the way through peers.
+	readWait = 500 * time.Millisecond
+	// readMinGap bounds the reads of one reader if the service answers a watch
+	// at once.
+	readMinGap = 100 * time.Millisecond
+	// readBackoffMin and readBackoffMax bound the delay after a failed read
+	// and between the reads of an instance that peers do not confirm.
+	readBackoffMin = time.Second
+	readBackoffMax = 8 * time.Second
+	// minReaders is the smallest number of readers.
+	minReaders = 3
+	// announceAllBelow is the largest fleet in which a new set is announced
+	// to all peers.
+	announceAllBelow = 16
+	// fetchTimeout is the time after which a set is requested again. It
+	// doubles up to fetchTimeoutMax, because a set that this instance refuses
+	// would otherwise be transferred (1 MB) twice a second.
+	fetchTimeout    = 500 * time.Millisecond
+	fetchTimeoutMax = 8 * time.Second
+	// peerFirstWait is the time that a starting instance waits for the first
+	// answer of a peer although the configuration service has answered. The
+	// service may be stale, and peers then hold a newer set.
+	peerFirstWait = time.Second
+	// sweepSize is the number of peers that an instance asks in each exchange
+	// interval while it needs the answers of a majority: 510 members are
+	// asked within 1.6 s.
+	sweepSize = 64
+	// sweepDelay is the time that an instance of a large fleet waits for the
+	// service or a confirmed peer before it asks many peers.
+	sweepDelay = time.Second
+	// seenChunk is the number of origins in the version vector of one
+	// exchange. A vector of 510 origins in each exchange would exceed the
+	// 24 KB/s that the control plane may use.
+	seenChunk = 32
+	// maxMemberRumors and maxTargetRumors bound the changes that are pushed in
+	// one message; maxTargetsReply bounds the target states of one reply.
+	maxMemberRumors = 64
+	maxTargetRumors = 32
+	maxTargetsReply = 512
+	// helpers is the number of peers that are asked to ping a silent member.
+	helpers = 2
+	// probeLost is the time after which an unanswered probe is given up.
+	probeLost = 2 * time.Second
+	// probeFailures is the number of failed probes in a row after which a
+	// target is published as down.
+	probeFailures = 2
+	// reacquireGap is the shortest suspension after which this instance waits
+	// for a handover of its own leads. Another instance can have taken over
+	// after 300 ms + 300 ms + 1 s + 1 s; the margin covers ticks and links.
+	reacquireGap = 2 * time.Second
+	// clockSkew is the difference between the advances of the two clocks that
+	// counts as a suspension. Smaller ones come from reading them in turn.
+	clockSkew = 20 * time.Millisecond
+	// releaseMemory is the time for which a lead release is kept that arrives
+	// before this instance knows that it leads.
+	releaseMemory = 2 * time.Second
+	// gatePart is the share of the targets of a returning place that must be
+	// warm before the next place gets work, in percent.
+	gatePart = 80
+)
--- /dev/null
+++ b/core/fleet/members.go
@@ -0,0 +1,415 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/rank"
+)
+
+// health is this instance's own finding about a member.
+type health uint8
+
+const (
+	healthAlive health = iota
+	healthSuspected
+	healthExcluded // suspected for view.SuspicionTime without refutation
+)
+
+func (h health) String() string { return [...]string{"alive", "suspected", "excluded"}[h] }
+
+func statusName(s model.MemberStatus) string {
+	switch s {
+	case model.MemberServing:
+		return "serving"
+	case model.MemberDraining:
+		return "draining"
+	default:
+		return "starting"
+	}
+}
+
+// member is one instance on the platform's list, or this instance itself.
+type member struct {
+	id      model.InstanceID
+	hash    uint64
+	address string
+	place   *place
+	listed  bool
+	leaving bool // by the platform's list
+
+	// The state that the member announces. known is false until it is seen.
+	known       bool
+	incarnation model.Incarnation
+	heartbeat   uint64 // drawn from the same numbers as the publications
+	status      model.MemberStatus
+
+	health      health
+	suspectedAt time.Duration
+	// reached is true after an answer of the member to a message that was sent
+	// after this instance started or resumed. agrees is true if that answer
+	// came from a member past its start that holds no newer set.
+	reached bool
+	agrees  bool
+
+	askRound  uint64        // last exchange request to the member
+	askSent   time.Duration // of askRound
+	pingRound uint64        // oldest unanswered request, 0 if none
+	pingDue   time.Duration // end of the current wait, direct or indirect
+	indirect  bool          // other members have been asked
+	inLost    bool          // is in Fleet.lost
+
+	origin origin // publications of the member
+
+	reader      bool // counts for the ranking of readers
+	isEligible  bool
+	eligiblePos int // in Fleet.eligible
+	placePos    int // in place.eligible
+	leads       []*target
+
+	useEpoch uint64 // of the group assignment that useCount belongs to
+	useCount int
+
+	memberRumor rumorState
+}
+
+// place is a data centre, from the list or from the set.
+type place struct {
+	id       model.PlaceID
+	eligible []*member
+	targets  []*target
+
+	out   bool
+	gated bool // returned, but an earlier place is still warming up
+	warm  int  // targets at half of their slots or more
+	total int  // targets that are not set to drain
+}
+
+// membership holds the members and what this instance counts over them.
+type membership struct {
+	self     *member
+	byID     map[model.InstanceID]*member
+	listed   []*member // sorted by id
+	haveList bool      // a list has been read
+	places   map[model.PlaceID]*place
+
+	placeList []*place // in the order of their first mention
+	gate      []*place // returned places that wait, in their order
+	gateFront *place   // admitted last
+	gateSince time.Duration
+
+	reachedCount int // listed, reached and alive
+	agreesCount  int // listed, agrees and alive, without self
+	readersAbove int // members that rank before self for reading
+	readersTotal int
+}
+
+func (f *Fleet) place(id model.PlaceID) *place {
+	p := f.places[id]
+	if p == nil {
+		p = &place{id: id}
+		f.places[id] = p
+		f.placeList = append(f.placeList, p)
+	}
+	return p
+}
+
+// instanceList takes over the platform's list. A failed read keeps the last
+// one, and so does an empty list once one is held, because a list without this
+// very instance cannot be complete. A first list that is empty counts as a
+// list of this instance alone: nobody has been registered before it.
+func (f *Fleet) instanceList(in *model.InstanceList) {
+	if !in.OK {
+		return
+	}
+	infos := in.Instances
+	if len(infos) == 0 {
+		if f.haveList {
+			f.warn("InstanceListEmpty", string(f.cfg.Self), "", "last list kept")
+			return
+		}
+		infos = []model.InstanceInfo{{ID: f.cfg.Self, Address: f.cfg.Address, Place: f.cfg.Place}}
+	}
+	infos = slices.Clone(infos)
+	slices.SortStableFunc(infos, func(a, b model.InstanceInfo) int {
+		return compareIDs(a.ID, b.ID)
+	})
+	infos = slices.CompactFunc(infos, func(a, b model.InstanceInfo) bool { return a.ID == b.ID })
+	first := !f.haveList
+	f.haveList = true
+	if f.sameList(infos) {
+		return
+	}
+	f.mergeList(infos)
+	f.recount()
+	if first {
+		f.startExchange()
+	}
+}
+
+func compareIDs(a, b model.InstanceID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (f *Fleet) sameList(infos []model.InstanceInfo) bool {
+	return slices.EqualFunc(infos, f.listed, func(a model.InstanceInfo, m *member) bool {
+		return a.ID == m.id && a.Address == m.address && a.Place == m.place.id && a.Leaving == m.leaving
+	})
+}
+
+// mergeList walks the old and the new list, both sorted by id.
+func (f *Fleet) mergeList(infos []model.InstanceInfo) {
+	old := f.listed
+	next := make([]*member, 0, len(infos))
+	for i := range infos {
+		info := &infos[i]
+		for len(old) > 0 && old[0].id < info.ID {
+			f.unlist(old[0])
+			old = old[1:]
+		}
+		if len(old) > 0 && old[0].id == info.ID {
+			old = old[1:]
+		}
+		next = append(next, f.list(info))
+	}
+	for _, m := range old {
+		f.unlist(m)
+	}
+	f.listed = next
+}
+
+func (f *Fleet) list(info *model.InstanceInfo) *member {
+	m := f.byID[info.ID]
+	if m == nil {
+		m = &member{id: info.ID, hash: rank.Hash(string(info.ID))}
+		f.byID[info.ID] = m
+	}
+	if !m.listed {
+		m.listed = true
+		f.event("MemberListed", string(m.id), "", info.Address)
+		f.joinOrder(m)
+	}
+	if m.leaving != info.Leaving {
+		f.event("MemberLeaving", string(m.id), formatBool(m.leaving), formatBool(info.Leaving))
+		m.leaving = info.Leaving
+	}
+	if m != f.self {
+		// The settings decide the address and place of this instance itself.
+		m.address = info.Address
+		f.move(m, f.place(info.Place))
+	}
+	f.updateMember(m)
+	return m
+}
+
+func (f *Fleet) move(m *member, p *place) {
+	if m.place == p {
+		return
+	}
+	f.removeEligible(m)
+	m.place = p
+}
+
+func (f *Fleet) unlist(m *member) {
+	m.listed = false
+	f.event("MemberUnlisted", string(m.id), statusName(m.status), "")
+	f.updateMember(m)
+	if m == f.self {
+		return
+	}
+	f.lose(m)
+	f.unlinkOrigin(m)
+	delete(f.byID, m.id)
+}
+
+// updateMember applies a change of a member's state to the rankings.
+func (f *Fleet) updateMember(m *member) {
+	if m != f.self {
+		f.setEligible(m, f.canLead(m))
+	}
+	f.setReader(m, m.listed && !m.leaving && m.health != healthExcluded && m.status != model.MemberDraining)
+}
+
+func (f *Fleet) canLead(m *member) bool {
+	return m.listed && m.known && !m.leaving && m.status == model.MemberServing && m.health != healthExcluded
+}
+
+func (f *Fleet) setReader(m *member, reader bool) {
+	if m.reader == reader {
+		return
+	}
+	m.reader = reader
+	delta := 1
+	if !reader {
+		delta = -1
+	}
+	f.readersTotal += delta
+	if m != f.self && f.readsBefore(m) {
+		f.readersAbove += delta
+	}
+}
+
+// recount counts what depends on the whole list.
+func (f *Fleet) recount() {
+	f.reachedCount, f.agreesCount = 0, 0
+	for _, m := range f.listed {
+		if m.health != healthAlive {
+			continue
+		}
+		if m.reached {
+			f.reachedCount++
+		}
+		if m.agrees {
+			f.agreesCount++
+		}
+	}
+}
+
+// setContact changes what counts as contact with a listed member.
+func (f *Fleet) setContact(m *member, h health, reached, agrees bool) {
+	wasReached := m.reached && m.health == healthAlive
+	wasAgrees := m.agrees && m.health == healthAlive
+	m.health, m.reached, m.agrees = h, reached, agrees
+	if m.listed {
+		f.reachedCount += change(wasReached, reached && h == healthAlive)
+		f.agreesCount += change(wasAgrees, agrees && h == healthAlive)
+	}
+}
+
+func change(before, after bool) int {
+	switch {
+	case before == after:
+		return 0
+	case after:
+		return 1
+	}
+	return -1
+}
+
+// seenAlive notes a message of a member's life. It reports false if the
+// message is from a life that is over.
+func (f *Fleet) seenAlive(m *member, life model.Incarnation) bool {
+	if m.known && life < m.incarnation {
+		return false
+	}
+	if !m.known || life > m.incarnation {
+		f.newLife(m, life)
+	}
+	return true
+}
+
+// newLife resets a member whose first message or restart was seen. It starts
+// without work, whatever the life before did.
+func (f *Fleet) newLife(m *member, life model.Incarnation) {
+	if m.known {
+		f.warn("MemberRestarted", string(m.id), formatLife(m.incarnation), formatLife(life))
+		f.lose(m)
+	}
+	m.known = true
+	m.incarnation, m.heartbeat, m.status = life, 0, model.MemberStarting
+	f.unlinkOrigin(m)
+	f.setContact(m, healthAlive, m.reached, false)
+	m.pingRound = 0
+	f.updateMember(m)
+}
+
+// mergeMember takes over the state of a member as a peer knows it.
+func (f *Fleet) mergeMember(s *model.MemberState) {
+	if s.ID == f.cfg.Self {
+		f.mergeSelf(s)
+		return
+	}
+	m := f.byID[s.ID]
+	if m == nil || !m.listed || !f.seenAlive(m, s.Incarnation) {
+		return
+	}
+	switch {
+	case s.Heartbeat > m.heartbeat:
+		f.advanceMember(m, s)
+	case s.Heartbeat == m.heartbeat && s.Suspected && m.health == healthAlive:
+		f.suspect(m)
+	}
+}
+
+// advanceMember takes over a state that the member announced later than the
+// known one. A higher heartbeat also refutes a suspicion.
+func (f *Fleet) advanceMember(m *member, s *model.MemberState) {
+	before := m.status
+	m.heartbeat, m.status = s.Heartbeat, s.Status
+	if before != s.Status {
+		f.event("MemberStatus", string(m.id), statusName(before), statusName(s.Status))
+	}
+	if m.health != healthAlive {
+		f.event("MemberRefuted", string(m.id), m.health.String(), healthAlive.String())
+		f.setContact(m, healthAlive, m.reached, m.agrees)
+		m.pingRound = 0
+	}
+	f.updateMember(m)
+	f.spreadMember(m)
+	if s.Suspected {
+		f.suspect(m)
+	}
+}
+
+// mergeSelf refutes a suspicion of this instance by a higher heartbeat and
+// tells some peers at once, so that it arrives before the exclusion.
+func (f *Fleet) mergeSelf(s *model.MemberState) {
+	if s.Incarnation > f.cfg.Incarnation {
+		f.warn("DuplicateInstance", string(s.ID), formatLife(f.cfg.Incarnation), formatLife(s.Incarnation))
+		return
+	}
+	if s.Incarnation == f.cfg.Incarnation && s.Suspected && s.Heartbeat >= f.self.heartbeat {
+		f.number = max(f.number, s.Heartbeat)
+		f.announceSelf()
+	}
+}
+
+// announceSelf spreads a new state of this instance.
+func (f *Fleet) announceSelf() {
+	f.number++
+	f.self.heartbeat = f.number
+	f.spreadMember(f.self)
+	for _, m := range f.randomPeers(f.announceFanout(), nil) {
+		f.sendLight(m)
+	}
+}
+
+func (f *Fleet) setSelfStatus(s model.MemberStatus) {
+	if f.self.status == s {
+		return
+	}
+	f.event("MemberStatus", string(f.cfg.Self), statusName(f.self.status), statusName(s))
+	f.self.status = s
+	f.updateMember(f.self)
+	f.announceSelf()
+}
+
+// updateSelfEligibility lets this instance lead. A draining instance leads
+// only while no other member can: otherwise its targets would get no work
+// while the balancer still sends calls here.
+func (f *Fleet) updateSelfEligibility() {
+	m := f.self
+	can := f.canLead(m)
+	if !can && m.listed && m.status == model.MemberDraining && f.stopPhase < stopDone {
+		others := len(f.eligible)
+		if m.isEligible {
+			others--
+		}
+		can = others == 0
+	}
+	f.setEligible(m, can)
+}
+
+func (f *Fleet) memberState(m *member) model.MemberState {
+	return model.MemberState{
+		ID: m.id, Incarnation: m.incarnation, Heartbeat: m.heartbeat,
+		Status: m.status, Suspected: m.health != healthAlive,
+	}
+}
--- /dev/null
+++ b/core/fleet/probes.go
@@ -0,0 +1,222 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/view"
+)
+
+// target is one published target.
+type target struct {
+	id      model.TargetID
+	hash    uint64
+	address string
+	slots   int
+	drain   bool // set to drain
+	group   *group
+	place   *place
+	removed bool
+
+	lead    *member
+	key     leadKey
+	leadPos int // in lead.leads
+	weak    bool
+	weakPos int
+
+	hold        hold
+	former      *member // lead before this instance
+	handoverDue time.Duration
+	releasedAt  time.Duration // release that came before the lead, 0 if none
+	passUntil   time.Duration // until when a release is passed on
+
+	probeDue  time.Duration // next probe, 0 if none is planned
+	probeSent time.Duration
+	probing   bool // a ProbeReply is outstanding
+	failures  int  // failed probes in a row
+
+	// state is the last published state; known is false before the first.
+	known bool
+	state model.TargetState
+	// own is the data plane's warm level while this instance leads.
+	own int
+
+	older, newer *target // neighbours in the publications of the origin
+	linked       *member // origin in whose list the target is
+	rumor        rumorState
+	warm         bool
+	touched      bool
+}
+
+// targets holds the published targets.
+type targets struct {
+	byTarget     map[model.TargetID]*target
+	dirtyTargets []*target
+	number       uint64 // highest publication number seen
+}
+
+// startProbe probes a target that this instance leads, at once.
+func (f *Fleet) startProbe(t *target) {
+	t.failures = 0
+	t.own = 0
+	if !t.probing {
+		f.sendProbe(t)
+	}
+	t.probeDue = f.after(view.ProbeInterval, timer{kind: timerProbe, target: t})
+}
+
+func (f *Fleet) sendProbe(t *target) {
+	t.probing, t.probeSent = true, f.now
+	f.emit(model.ProbeTarget{Target: t.id, Address: t.address})
+}
+
+func (f *Fleet) probeExpired(t *target) {
+	if t.removed || t.lead != f.self || t.probeDue == 0 || t.probeDue > f.now {
+		return
+	}
+	if !t.probing || f.now-t.probeSent >= probeLost {
+		f.sendProbe(t)
+	}
+	t.probeDue = f.after(view.ProbeInterval, timer{kind: timerProbe, target: t})
+}
+
+func (f *Fleet) probeReply(in *model.ProbeReply) {
+	t := f.byTarget[in.Target]
+	if t == nil {
+		return
+	}
+	t.probing = false
+	if t.lead != f.self {
+		return
+	}
+	next := t.state
+	if !in.OK {
+		t.failures++
+		if t.failures < probeFailures {
+			return
+		}
+		next.Level = 0
+		t.own = 0
+		f.publish(t, next)
+		return
+	}
+	t.failures = 0
+	r := &in.Report
+	if !t.known || next.Incarnation != r.Incarnation {
+		// A restarted target is cold.
+		t.own = 1
+	}
+	next.Incarnation, next.Draining, next.Versions = r.Incarnation, r.Draining, r.Versions
+	if t.own > 0 {
+		next.Level = t.own
+	}
+	next.Level = max(next.Level, 1)
+	f.publish(t, next)
+}
+
+// observe takes over what the data plane learned about a led target.
+func (f *Fleet) observe(o *view.Observation) {
+	t := f.byTarget[o.Target]
+	if t == nil || t.lead != f.self {
+		return
+	}
+	next := t.state
+	t.own = o.Level
+	next.Level = o.Level
+	if o.Incarnation > next.Incarnation {
+		next.Incarnation = o.Incarnation
+	}
+	f.publish(t, next)
+}
+
+// publish gives a state of a led target to the exchange if it differs from the
+// one that the fleet knows, or if another instance published that one.
+func (f *Fleet) publish(t *target, next model.TargetState) {
+	if t.known && f.ownState(t) && sameState(&t.state, &next) {
+		return
+	}
+	f.number++
+	next.Target, next.Origin, next.OriginLife = t.id, f.cfg.Self, f.cfg.Incarnation
+	next.Number = f.number
+	f.setState(t, f.self, next)
+}
+
+func (f *Fleet) ownState(t *target) bool {
+	return t.state.Origin == f.cfg.Self && t.state.OriginLife == f.cfg.Incarnation
+}
+
+func sameState(a, b *model.TargetState) bool {
+	return a.Incarnation == b.Incarnation && a.Level == b.Level && a.Draining == b.Draining &&
+		slices.EqualFunc(a.Versions, b.Versions, func(v, w model.VersionReport) bool {
+			return v.Version == w.Version && v.Total == w.Total && slices.Equal(v.Partitions, w.Partitions)
+		})
+}
+
+// setState stores a state of a target that the member published.
+func (f *Fleet) setState(t *target, origin *member, s model.TargetState) {
+	before := t.state
+	changed := !t.known || !sameState(&before, &s)
+	t.known, t.state = true, s
+	f.number = max(f.number, s.Number)
+	f.linkOrigin(t, origin)
+	f.spreadTarget(t)
+	if !changed {
+		return
+	}
+	f.touch(t)
+	f.countWarm(t)
+	if t.lead == f.self {
+		f.stateEvents(t, &before)
+	}
+}
+
+func (f *Fleet) stateEvents(t *target, before *model.TargetState) {
+	now := &t.state
+	if before.Incarnation != now.Incarnation {
+		f.event("TargetIncarnation", string(t.id), formatLife(before.Incarnation), formatLife(now.Incarnation))
+	}
+	if before.Draining != now.Draining {
+		f.event("TargetDraining", string(t.id), formatBool(before.Draining), formatBool(now.Draining))
+	}
+	if (before.Level == 0) != (now.Level == 0) {
+		f.event("TargetUp", string(t.id), formatBool(before.Level > 0), formatBool(now.Level > 0))
+	}
+}
+
+// mergeTarget takes over a state that came from a peer. States of one target
+// are ordered by number, then origin: the number of each publication is above
+// all that its origin had seen. It reports false if the target is not in the
+// set in force, so that the state has to be asked for again later.
+func (f *Fleet) mergeTarget(s *model.TargetState) bool {
+	t := f.byTarget[s.Target]
+	origin := f.byID[s.Origin]
+	f.number = max(f.number, s.Number)
+	if origin == nil || origin == f.self || !origin.listed || !f.seenAlive(origin, s.OriginLife) {
+		return true
+	}
+	if t == nil {
+		return false
+	}
+	same := t.known && s.Number == t.state.Number && s.Origin == t.state.Origin && s.OriginLife == t.state.OriginLife
+	if same && t.linked == nil {
+		// The origin had left the list in between.
+		f.linkOrigin(t, origin)
+	}
+	if !t.known || laterState(s, &t.state) {
+		// If this instance leads the target, its next probe publishes the
+		// state anew, because another origin published this one.
+		f.setState(t, origin, *s)
+	}
+	return true
+}
+
+func laterState(a, b *model.TargetState) bool {
+	switch {
+	case a.Number != b.Number:
+		return a.Number > b.Number
+	case a.Origin != b.Origin:
+		return a.Origin > b.Origin
+	}
+	return a.OriginLife > b.OriginLife
+}
