--- a/core/fleet/cluster_test.go
+++ b/core/fleet/cluster_test.go
@@ -19,6 +19,8 @@
 	paused    bool
 	ready     bool
 	stopped   bool
+	stoppedAt time.Duration
+	slept     time.Duration // by which the Mono clock is behind
 	readyAt   time.Duration
 	lost      []model.InstanceID
 	pending   map[model.TargetID]bool // reported as led, to be drained
@@ -48,7 +50,11 @@
 	service func(int) *objects.Set // nil: the read fails
 	report  func(model.TargetID) (model.TargetReport, bool)
 	list    []int
-	check   func()
+	sides   func(int) int // which disjoint view an instance is in
+	// overlap and gap are the times for which a target had more than one
+	// active lead in one view, and none at all, since the last reset.
+	overlap, gap time.Duration
+	backwards    int // times that an instance went back to an earlier set
 }
 
 const step = time.Millisecond
@@ -101,8 +107,10 @@
 
 func (p *pump) relist(list ...int) {
 	p.list = list
-	for i := range p.nodes {
-		p.post(p.now, -1, i, p.instances())
+	for i, n := range p.nodes {
+		if n.up {
+			p.post(p.now, -1, i, p.instances())
+		}
 	}
 }
 
@@ -120,9 +128,7 @@
 				p.tick(i)
 			}
 		}
-		if p.check != nil {
-			p.check()
-		}
+		p.checkLeads()
 	}
 }
 
@@ -142,7 +148,8 @@
 
 func (p *pump) tick(i int) {
 	n := p.nodes[i]
-	now := model.Now{Mono: p.now, Boot: p.now}
+	now := model.Now{Mono: p.now - n.slept, Boot: p.now}
+	before := n.f.configOrder()
 	var out []model.Output
 	changes := n.f.Tick(now, &out)
 	n.lost = append(n.lost, changes.LostPeers...)
@@ -150,6 +157,9 @@
 	if changes.Set {
 		n.adoptedAt[n.f.Set().Digest] = p.now
 	}
+	if laterOrder(before, n.f.configOrder()) {
+		p.backwards++
+	}
 	for _, o := range out {
 		p.carry(i, o)
 	}
@@ -187,7 +197,7 @@
 	case model.Event:
 		n.events = append(n.events, o)
 	case model.Stopped:
-		n.stopped = true
+		n.stopped, n.stoppedAt = true, p.now
 	}
 }
 
@@ -215,6 +225,56 @@
 	}
 }
 
+// checkLeads measures overlaps and gaps in the leads.
+func (p *pump) checkLeads() {
+	overlap, gap := false, false
+	for _, g := range p.nodes[0].f.groups {
+		for _, t := range g.targets {
+			leads := p.activeLeads(t.id)
+			gap = gap || len(leads) == 0
+			for i := 1; i < len(leads); i++ {
+				overlap = overlap || p.side(leads[i]) == p.side(leads[i-1])
+			}
+		}
+	}
+	if overlap {
+		p.overlap += step
+	}
+	if gap {
+		p.gap += step
+	}
+}
+
+func (p *pump) side(i int) int {
+	if p.sides == nil {
+		return 0
+	}
+	return p.sides(i)
+}
+
+// split cuts the instances below n from the others.
+func (p *pump) split(n int) {
+	p.sides = func(i int) int {
+		if i < n {
+			return 0
+		}
+		return 1
+	}
+	p.cut = func(a, b int) bool { return p.sides(a) != p.sides(b) }
+}
+
+func (p *pump) heal() { p.cut, p.sides = nil, nil }
+
+func (p *pump) pause(i int, d time.Duration, sleep bool) {
+	n := p.nodes[i]
+	n.paused = true
+	p.run(d)
+	n.paused = false
+	if sleep {
+		n.slept += d
+	}
+}
+
 // activeLeads lists the instances that may send to a target.
 func (p *pump) activeLeads(id model.TargetID) []int {
 	var leads []int
--- a/core/fleet/exchange.go
+++ b/core/fleet/exchange.go
@@ -94,6 +94,7 @@
 func (f *Fleet) startExchange() {
 	f.listedAt = f.now
 	f.after(peerFirstWait, timer{kind: timerFence})
+	f.after(listLag, timer{kind: timerFence})
 	for _, m := range f.randomPeers(minReaders+1, nil) {
 		f.sendLight(m)
 	}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 	"time"
-
 )
 
 // Guards against a fleet that never serves: every instance becomes ready, each
--- a/core/fleet/leads.go
+++ b/core/fleet/leads.go
@@ -283,6 +283,7 @@
 
 func (f *Fleet) waitForHandover(t *target) {
 	f.setHold(t, holdWaiting)
+	t.waitingSince = f.now
 	t.handoverDue = f.after(view.HandoverWait, timer{kind: timerHandover, target: t})
 }
 
@@ -317,9 +318,18 @@
 }
 
 func (f *Fleet) handoverExpired(t *target) {
-	if t.hold == holdWaiting && t.handoverDue <= f.now {
-		f.setHold(t, holdActive)
+	if t.hold != holdWaiting || t.handoverDue > f.now {
+		return
+	}
+	m := t.former
+	if m != nil && m.listed && m.health == healthAlive && !m.reached && f.now-t.waitingSince < listLag {
+		// The former lead is alive but has never answered: it may not know
+		// this instance yet and go on sending.
+		f.sendLight(m)
+		t.handoverDue = f.after(view.HandoverWait, timer{kind: timerHandover, target: t})
+		return
 	}
+	f.setHold(t, holdActive)
 }
 
 // drained hands a target over after the data plane's last work there.
--- a/core/fleet/limits.go
+++ b/core/fleet/limits.go
@@ -33,6 +33,11 @@
 	// interval while it needs the answers of a majority: 510 members are
 	// asked within 1.6 s.
 	sweepSize = 64
+	// listLag is the time for which the instance list of a peer is expected to
+	// lack a new instance. Until then the silence of all peers, or of a former
+	// lead, is taken as a sign that they do not know the address of this
+	// instance yet.
+	listLag = 5 * time.Second
 	// sweepDelay is the time that an instance of a large fleet waits for the
 	// service or a confirmed peer before it asks many peers.
 	sweepDelay = time.Second
--- a/core/fleet/probes.go
+++ b/core/fleet/probes.go
@@ -28,8 +28,10 @@
 	hold        hold
 	former      *member // lead before this instance
 	handoverDue time.Duration
-	releasedAt  time.Duration // release that came before the lead, 0 if none
-	passUntil   time.Duration // until when a release is passed on
+
+	waitingSince time.Duration // start of holdWaiting
+	releasedAt   time.Duration // release that came before the lead, 0 if none
+	passUntil    time.Duration // until when a release is passed on
 
 	probeDue  time.Duration // next probe, 0 if none is planned
 	probeSent time.Duration
--- a/core/fleet/readiness.go
+++ b/core/fleet/readiness.go
@@ -80,7 +80,8 @@
 
 // startConfirmed reports whether a new instance may serve. The answer of the
 // service, to this instance or to a peer, suffices only after some peers have
-// answered too, because the service may be stale.
+// answered too, because the service may be stale, and because the answers to
+// an instance that no peer knows cannot arrive.
 func (f *Fleet) startConfirmed() bool {
 	peers := len(f.listed) - 1
 	if 2*f.agreesCount > peers {
@@ -89,7 +90,8 @@
 	if !f.confirmFresh() || f.fetching && f.fetchTries < minReaders {
 		return false
 	}
-	return f.reachedCount-1 >= min(peers, minReaders) || f.now-f.listedAt >= peerFirstWait
+	answers, waited := f.reachedCount-1, f.now-f.listedAt
+	return answers >= min(peers, minReaders) || answers > 0 && waited >= peerFirstWait || waited >= listLag
 }
 
 func (f *Fleet) resumeConfirmed() bool {
