State the meaning of Stopping and of Exchange.Seen

New calls are served during the balancer delay (design section 3.9), so that Stopping can only be true after it. A version vector of 510 origins in each exchange exceeds the budget of 24 KB/s, so that a request names a part of them. Comments only.

--- a/core/model/peer.go
+++ b/core/model/peer.go
@@ -64,7 +64,10 @@
 	Reply   bool
 	Config  ConfigState
 	Members []MemberState
-	Seen    []SeenUpTo    // sorted by origin
+	// Seen, sorted by origin, names in a request the origins that are asked
+	// for, which can be a part of the fleet. In a reply it says up to which
+	// number the reply completes an origin.
+	Seen    []SeenUpTo
 	Targets []TargetState // that the receiver lacks, as far as known
 }
 
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -47,7 +47,8 @@
 	Set() *objects.Set
 	// Readiness says whether new work may be sent at this time.
 	Readiness() Readiness
-	// Stopping is true once a graceful stop has begun.
+	// Stopping is true once the balancer delay of a graceful stop is over: new
+	// calls are refused and work in flight ends.
 	Stopping() bool
 	// Lead says who leads the target.
 	Lead(model.TargetID) Lead
