model: say from which id on a booking handover is complete

An owner forgets which ids were used some time after they expire. Without a lower bound its successor would answer "not run" for an old id whose booking did run. BookingHandover.First is the lowest id whose use is known.

--- a/core/model/peer.go
+++ b/core/model/peer.go
@@ -160,10 +160,12 @@
 }
 
 // BookingHandover gives the outcomes of a stopping owner to a successor. Ids
-// up to Issued that are not listed were never run.
+// from First to Issued that are not listed were never run. The use of ids
+// below First is no longer known.
 type BookingHandover struct {
 	Owner       InstanceID
 	Incarnation Incarnation
+	First       uint64
 	Issued      uint64
 	Outcomes    []BookingRecord
 }
