view: let the data plane find the successor of another instance

A call for a booking id of a stopped owner must reach the member that took over the outcomes. View.Successor tells only the successor of this instance. Successors is optional, so that existing views keep compiling; without it such calls are answered "unknown".

--- a/core/view/view.go
+++ b/core/view/view.go
@@ -64,6 +64,16 @@
 	Successor() model.InstanceID
 }
 
+// Successors is implemented by a View that knows which member took over the
+// booking ids of another instance that has stopped. Without it, calls for
+// such ids are answered "unknown".
+type Successors interface {
+	// SuccessorOf is the member whose id the instance's own Successor
+	// returned, as far as the ranking of the present members tells. It is
+	// empty if there is none.
+	SuccessorOf(model.InstanceID) model.InstanceID
+}
+
 // Changes lists what changed in the control plane during its tick. The data
 // plane looks only at these.
 type Changes struct {
