--- /dev/null
+++ b/core/query/attempt.go
@@ -0,0 +1,189 @@
+package query
+
+import (
+	"time"
+
+	"galenadyke.dev/core/model"
+)
+
+// attempt is one sub-request at the entry instance or the owner of a booking:
+// own work at a target that this instance leads, or work relayed to a lead.
+type attempt struct {
+	call    int32 // search, none for a booking
+	part    int32
+	booking int32 // none for a search
+	target  int32
+	peer    int32 // lead that it was relayed to, none for own work
+	work    int32 // own work, none if relayed
+	hedge   bool
+	lead    model.InstanceID
+	sent    time.Duration
+	wait    time.Duration // expected wait at the lead when it was sent
+	held    []uint32      // partitions that the target reported for the version
+
+	next         int32 // in the part
+	prevP, nextP int32 // in the peer's list
+}
+
+// outcome is the end of a work or an attempt.
+type outcome struct {
+	err       model.Kind
+	execution model.Execution
+	answer    model.TargetAnswer
+	wait      time.Duration
+	level     int
+	relayed   bool
+}
+
+// request is what the work of one call or booking has in common.
+type request struct {
+	booking   string
+	snapshot  model.SnapshotVersion
+	deadline  time.Duration
+	requestID string
+	body      []byte
+	trace     string
+}
+
+func (e *Engine) newAttempt(t int32, hedge bool) (int32, *attempt) {
+	i, a := e.attempts.alloc()
+	*a = attempt{
+		call: none, booking: none, peer: none, work: none, next: none, prevP: none, nextP: none,
+		target: t, hedge: hedge, sent: e.now, lead: e.targets[t].lead.Instance,
+	}
+	return i, a
+}
+
+func (e *Engine) startSearchAttempt(i, k, t int32, hedge bool) {
+	c := e.calls.at(i)
+	p := &c.search.parts[k]
+	id, a := e.newAttempt(t, hedge)
+	a.call, a.part = i, k
+	a.next, p.attempts = p.attempts, id
+	p.pending++
+	p.tried = append(p.tried, t)
+	if v := findVersion(e.targets[t].info.Versions, c.search.snapshot); v != nil && v.Total == c.search.total {
+		a.held = v.Partitions
+	}
+	e.startAttempt(id, request{
+		snapshot: c.search.snapshot, deadline: c.deadline,
+		requestID: c.requestID, body: c.body, trace: c.trace,
+	})
+}
+
+// startAttempt hands the attempt to the queue of the target, or adds it to
+// the relay message to its lead. The caller flushes the relays.
+func (e *Engine) startAttempt(id int32, r request) {
+	a := e.attempts.at(id)
+	t := &e.targets[a.target]
+	if e.direct() || t.lead.Self {
+		a.work = e.newWork(a.target, r, a.hedge)
+		w := e.works.at(a.work)
+		w.attempt = id
+		e.enqueue(a.work)
+		return
+	}
+	a.wait = t.relayWait(e.now)
+	t.sentSince++
+	a.peer = t.leadPeer
+	e.linkPeer(id)
+	p := &e.peers[a.peer]
+	if len(p.items) == 0 {
+		e.relayed = append(e.relayed, a.peer)
+	}
+	p.items = append(p.items, model.RelayItem{Ref: e.ref(id), Target: t.id, Hedge: a.hedge})
+}
+
+func (e *Engine) ref(id int32) model.WorkRef {
+	return model.WorkRef{Origin: e.cfg.Self, Incarnation: e.cfg.Incarnation, Seq: e.attempts.id(id)}
+}
+
+// freeAttempt takes the attempt out of all lists.
+func (e *Engine) freeAttempt(id int32) {
+	a := e.attempts.at(id)
+	if a.call != none {
+		p := &e.calls.at(a.call).search.parts[a.part]
+		p.pending--
+		for at := &p.attempts; *at != none; at = &e.attempts.at(*at).next {
+			if *at == id {
+				*at = a.next
+				break
+			}
+		}
+	}
+	if a.peer != none {
+		e.unlinkPeer(id)
+	}
+	*a = attempt{}
+	e.attempts.release(id)
+}
+
+// attemptDone takes the outcome of an attempt to its search or booking.
+func (e *Engine) attemptDone(id int32, o outcome) {
+	a := *e.attempts.at(id)
+	if a.booking != none {
+		e.freeAttempt(id)
+		e.bookingAttemptDone(a, o)
+		return
+	}
+	e.freeAttempt(id)
+	c := e.calls.at(a.call)
+	p := &c.search.parts[a.part]
+	if o.execution != model.NotRun {
+		c.search.mayHaveRun = true
+	}
+	e.observe(&a, &o)
+	if o.err == model.KindNone {
+		o.err = e.checkAnswer(c, &a, &o.answer)
+	}
+	e.markCall(a.call)
+	if p.state != partOpen {
+		return
+	}
+	if o.err == model.KindNone {
+		p.state, p.target = partAnswered, a.target
+		p.partitions, p.body = o.answer.Partitions, o.answer.Body
+		c.search.open--
+		e.cancelPart(p)
+		return
+	}
+	c.search.failure = o.err
+	if o.err == model.KindVersionGone || o.err == model.KindTargetAnswer && o.answer.Snapshot > c.search.snapshot {
+		e.versionGone(a.target, c.search.snapshot)
+	}
+	if o.err == model.KindNotLead && e.targets[a.target].lead.Instance != a.lead {
+		p.forget(a.target)
+	}
+}
+
+// forget lets the target be asked once more, at its new lead.
+func (p *part) forget(t int32) {
+	for i, x := range p.tried {
+		if x == t {
+			p.tried = append(p.tried[:i], p.tried[i+1:]...)
+			return
+		}
+	}
+}
+
+func (e *Engine) cancelAttempts(c *call) {
+	for k := range c.search.parts {
+		e.cancelPart(&c.search.parts[k])
+	}
+}
+
+// cancelPart ends the attempts that are still in progress at the lead and at
+// the target. Their outcomes are not awaited.
+func (e *Engine) cancelPart(p *part) {
+	for p.attempts != none {
+		id := p.attempts
+		a := e.attempts.at(id)
+		e.abandoned(a)
+		if a.work != none {
+			e.cancelWork(a.work)
+		} else {
+			e.cancelRelay(id)
+		}
+		e.freeAttempt(id)
+	}
+}
--- /dev/null
+++ b/core/query/call.go
@@ -0,0 +1,304 @@
+package query
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/objects"
+)
+
+// call is a search or booking of a caller at the entry instance. A booking
+// call waits for the ledger of this instance or for the owner of its id.
+type call struct {
+	id        model.CallID
+	requestID string
+	trace     string
+	body      []byte
+	route     int32
+	arrived   time.Duration
+	budget    time.Duration
+	deadline  time.Duration // when the answer leaves
+	timer     int32
+	dirty     bool
+
+	search  searchState
+	booking bookWait
+}
+
+// searchState is the progress of a search.
+type searchState struct {
+	snapshot   model.SnapshotVersion
+	total      int
+	parts      []part
+	open       int // parts without an answer that may still get one
+	mayHaveRun bool
+	failure    model.Kind // last failure, for the error if nothing was found
+	stats      model.CallStats
+}
+
+type partState uint8
+
+const (
+	partOpen partState = iota
+	partAnswered
+	partMissing
+)
+
+// part is one group of a search.
+type part struct {
+	group    int32
+	state    partState
+	asked    bool
+	hedged   bool
+	pending  int32   // attempts in progress
+	attempts int32   // list of them
+	tried    []int32 // targets asked
+	hedgeAt  time.Duration
+
+	target     int32
+	partitions []uint32
+	body       []byte
+}
+
+func (e *Engine) searchCall(in model.SearchCall) {
+	if err := e.admit(in.Budget, len(in.Body)); err != nil {
+		e.emit(model.SearchAnswer{Call: in.Call, Error: err})
+		return
+	}
+	r, err := e.findRoute(in.Route, objects.RouteSearch)
+	if err == nil && e.callCount() >= e.limits.MaxInFlight {
+		err = tooManyCalls()
+	}
+	if err == nil {
+		err = e.admitSearch(r, in.Budget)
+	}
+	if err != nil {
+		e.emit(model.SearchAnswer{Call: in.Call, Error: err})
+		return
+	}
+	i, c := e.newCall(in.Call, in.RequestID, in.Trace, in.Body, in.Budget)
+	c.route = r
+	e.pin(c)
+	e.markCall(i)
+}
+
+func (e *Engine) newCall(id model.CallID, requestID, trace string, body []byte, budget time.Duration) (int32, *call) {
+	i, c := e.calls.alloc()
+	parts := c.search.parts
+	*c = call{
+		id: id, requestID: requestID, trace: trace, body: body,
+		arrived: e.now, budget: budget,
+		deadline: e.now + budget - e.reserve(budget),
+		timer:    e.timers.create(timerCall, i),
+		route:    none,
+	}
+	c.search.parts = parts[:0]
+	c.booking.reset()
+	e.callIndex[id] = i
+	e.timers.set(c.timer, c.deadline)
+	return i, c
+}
+
+// pin starts the search on the present snapshot of its route.
+func (e *Engine) pin(c *call) {
+	choice := e.choose(c.route)
+	s := &c.search
+	s.snapshot, s.total, s.open = choice.version, choice.total, 0
+	groups := e.routes[c.route].groups
+	s.parts = slices.Grow(s.parts[:0], len(groups))[:len(groups)]
+	for k, g := range groups {
+		p := &s.parts[k]
+		*p = part{group: g, attempts: none, target: none, tried: p.tried[:0]}
+		if choice.left[k] {
+			p.state = partMissing
+		} else {
+			s.open++
+		}
+	}
+}
+
+func (e *Engine) markCall(i int32) {
+	if c := e.calls.at(i); !c.dirty {
+		c.dirty = true
+		e.dirtyCalls = append(e.dirtyCalls, i)
+	}
+}
+
+// runCall sends what the search needs and answers it if nothing is open.
+func (e *Engine) runCall(i int32) {
+	c := e.calls.at(i)
+	if !c.dirty {
+		return // answered since
+	}
+	c.dirty = false
+	if e.now >= c.deadline {
+		e.answerSearch(i)
+		return
+	}
+	if e.restartIfGone(i) {
+		return
+	}
+	for k := range c.search.parts {
+		if p := &c.search.parts[k]; p.state == partOpen && p.pending == 0 {
+			e.sendPart(i, int32(k))
+		}
+	}
+	e.flushRelays(c)
+	if c.search.open == 0 {
+		e.answerSearch(i)
+		return
+	}
+	e.setCallTimer(c)
+}
+
+// sendPart asks a replica of a group that has no attempt in progress.
+func (e *Engine) sendPart(i, k int32) {
+	c := e.calls.at(i)
+	p := &c.search.parts[k]
+	retry := p.asked
+	t := e.chooseReplica(c, p, none)
+	if t == none || !e.maySend() || retry && !e.mayRetry() {
+		if !retry {
+			c.search.failure = model.KindNoTarget
+		}
+		if !e.maySend() {
+			c.search.failure = e.notReady()
+		}
+		e.closePart(c, p)
+		return
+	}
+	if retry {
+		c.search.stats.Retries++
+	} else {
+		c.search.stats.SubRequests++
+		e.hedges.earn()
+		e.retries.earn()
+	}
+	p.asked = true
+	p.hedgeAt = e.now + e.hedgeDelay(p.group)
+	e.startSearchAttempt(i, k, t, false)
+}
+
+func (e *Engine) closePart(c *call, p *part) {
+	p.state = partMissing
+	c.search.open--
+}
+
+// callTimer runs at the deadline of a call or when a hedge is due.
+func (e *Engine) callTimer(i int32) {
+	c := e.calls.at(i)
+	switch {
+	case c.booking.active:
+		e.bookCallDeadline(i)
+	case e.now >= c.deadline:
+		e.answerSearch(i)
+	default:
+		e.hedge(i)
+		e.setCallTimer(c)
+	}
+}
+
+// setCallTimer sets the timer to the deadline or the next hedge.
+func (e *Engine) setCallTimer(c *call) {
+	at := c.deadline
+	for k := range c.search.parts {
+		if p := &c.search.parts[k]; p.state == partOpen && p.pending == 1 && !p.hedged && p.hedgeAt < at {
+			at = p.hedgeAt
+		}
+	}
+	e.timers.set(c.timer, at)
+}
+
+// answerSearch ends a search with whatever has arrived.
+func (e *Engine) answerSearch(i int32) {
+	c := e.calls.at(i)
+	e.cancelAttempts(c)
+	s := &c.search
+	a := model.SearchAnswer{Call: c.id, Snapshot: s.snapshot, Total: s.total, Stats: s.stats}
+	a.Searched = e.coverage(s)
+	answered := 0
+	for k := range s.parts {
+		if s.parts[k].state == partAnswered {
+			answered++
+		}
+	}
+	if answered > 0 {
+		a.Parts = make([]model.AnswerPart, 0, answered)
+	}
+	if missing := len(s.parts) - answered; missing > 0 {
+		a.Missing = make([]model.GroupID, 0, missing)
+	}
+	for k := range s.parts {
+		p := &s.parts[k]
+		if p.state == partAnswered {
+			a.Parts = append(a.Parts, model.AnswerPart{
+				Group: e.groups[p.group].id, Target: e.targets[p.target].id, Body: p.body,
+			})
+		} else {
+			a.Missing = append(a.Missing, e.groups[p.group].id)
+		}
+	}
+	slices.Sort(a.Missing)
+	if answered == 0 {
+		a.Error = e.searchError(c)
+	}
+	e.emit(a)
+	e.endCall(i)
+}
+
+// searchError is the error of a search without any answer.
+func (e *Engine) searchError(c *call) *model.Error {
+	err := &model.Error{Kind: c.search.failure, Execution: model.NotRun}
+	if c.search.mayHaveRun {
+		err.Execution = model.Unknown
+	}
+	switch {
+	case e.now >= c.deadline:
+		err.Kind = model.KindDeadline
+		err.Message = "no group answered before the deadline; allow more time or check the targets"
+	case err.Kind == model.KindNone:
+		err.Kind = model.KindNoTarget
+		fallthrough
+	default:
+		err.Message = fmt.Sprintf("no group answered, last failure %s; check the state of the targets", err.Kind)
+	}
+	return err
+}
+
+func (e *Engine) endCall(i int32) {
+	c := e.calls.at(i)
+	delete(e.callIndex, c.id)
+	e.timers.remove(c.timer)
+	parts := c.search.parts
+	for k := range parts {
+		p := &parts[k]
+		*p = part{tried: p.tried[:0]}
+	}
+	*c = call{}
+	c.search.parts = parts[:0]
+	e.calls.release(i)
+}
+
+// cancelCall answers the call of a caller that has gone. A booking goes on
+// and its outcome is kept, so that a repeat gets it.
+func (e *Engine) cancelCall(id model.CallID) {
+	i, ok := e.callIndex[id]
+	if !ok {
+		return
+	}
+	c := e.calls.at(i)
+	err := &model.Error{Kind: model.KindCancelled, Execution: model.Unknown,
+		Message: "the caller ended the request; send a booking again with the same id to learn its outcome"}
+	if c.booking.active {
+		e.answerBook(i, bookResult{err: err.Kind, execution: err.Execution, message: err.Message})
+		return
+	}
+	if !c.search.mayHaveRun && c.search.stats.SubRequests == 0 {
+		err.Execution = model.NotRun
+	}
+	e.cancelAttempts(c)
+	e.emit(model.SearchAnswer{Call: c.id, Error: err, Snapshot: c.search.snapshot, Total: c.search.total, Stats: c.search.stats})
+	e.endCall(i)
+}
--- /dev/null
+++ b/core/query/coverage.go
@@ -0,0 +1,83 @@
+package query
+
+import (
+	"slices"
+
+	"galenadyke.dev/core/model"
+)
+
+// bitset marks partitions.
+type bitset []uint64
+
+func (b *bitset) clear(n int) {
+	words := (n + 63) / 64
+	if cap(*b) < words {
+		*b = make(bitset, words)
+	}
+	*b = (*b)[:words]
+	clear(*b)
+}
+
+// add marks n and reports whether it was new.
+func (b bitset) add(n uint32) bool {
+	w, bit := n/64, uint64(1)<<(n%64)
+	if b[w]&bit != 0 {
+		return false
+	}
+	b[w] |= bit
+	return true
+}
+
+// coverage counts the distinct partitions that the answers state. checkAnswer
+// has let through only partitions up to the total.
+func (e *Engine) coverage(s *searchState) int {
+	e.covered.clear(s.total + 1)
+	n := 0
+	for k := range s.parts {
+		if s.parts[k].state != partAnswered {
+			continue
+		}
+		for _, x := range s.parts[k].partitions {
+			if e.covered.add(x) {
+				n++
+			}
+		}
+	}
+	return min(n, s.total)
+}
+
+// checkAnswer compares an answer with what was asked. An answer that is not
+// the whole of what the target holds in the pinned version counts as missing.
+func (e *Engine) checkAnswer(c *call, a *attempt, got *model.TargetAnswer) model.Kind {
+	if got.Snapshot != c.search.snapshot {
+		return model.KindTargetAnswer
+	}
+	if got.Truncated || slices.ContainsFunc(got.Partitions, func(x uint32) bool { return int(x) > c.search.total }) {
+		return model.KindTargetAnswer
+	}
+	if slices.Equal(got.Partitions, a.held) {
+		return model.KindNone
+	}
+	for _, x := range a.held {
+		if !slices.Contains(got.Partitions, x) {
+			return model.KindTargetAnswer
+		}
+	}
+	g := e.targets[a.target].group
+	for _, x := range got.Partitions {
+		if !slices.Contains(a.held, x) && !e.groupHolds(g, c.search.snapshot, x) {
+			return model.KindTargetAnswer
+		}
+	}
+	return model.KindNone
+}
+
+// groupHolds reports whether a replica of the group reports the partition.
+func (e *Engine) groupHolds(g int32, v model.SnapshotVersion, partition uint32) bool {
+	for _, i := range e.groups[g].replicas {
+		if r := findVersion(e.targets[i].info.Versions, v); r != nil && slices.Contains(r.Partitions, partition) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/query/hedge.go
@@ -0,0 +1,54 @@
+package query
+
+import (
+	"time"
+
+	"galenadyke.dev/core/model"
+)
+
+// hedgeDelay is the time after which a second replica of the group is asked.
+func (e *Engine) hedgeDelay(g int32) time.Duration {
+	switch e.cfg.Policy {
+	case model.PolicyNaive:
+		return model.NoWake / 2
+	case model.PolicyFixedHedge:
+		return e.cfg.FixedHedgeDelay
+	}
+	if e.limits.HedgeShare <= 0 {
+		return model.NoWake / 2
+	}
+	p95 := e.groups[g].latency.p95
+	if p95 == 0 {
+		// Nothing is known of the group yet.
+		return model.NoWake / 2
+	}
+	return max(p95, e.limits.HedgeFloor)
+}
+
+// hedge asks a second replica for each group whose delay has passed.
+func (e *Engine) hedge(i int32) {
+	c := e.calls.at(i)
+	for k := range c.search.parts {
+		p := &c.search.parts[k]
+		if p.state != partOpen || p.pending != 1 || p.hedged || e.now < p.hedgeAt {
+			continue
+		}
+		p.hedged = true
+		t := e.chooseReplica(c, p, e.attempts.at(p.attempts).target)
+		if t == none || !e.maySend() || !e.hedgeHelps(c, t) || !e.mayHedge() {
+			continue
+		}
+		c.search.stats.Hedges++
+		e.startSearchAttempt(i, int32(k), t, true)
+	}
+	e.flushRelays(c)
+}
+
+// hedgeHelps reports whether the second replica can answer before the deadline.
+func (e *Engine) hedgeHelps(c *call, t int32) bool {
+	return e.direct() || e.now+e.expected(t) < c.deadline
+}
+
+func (e *Engine) mayHedge() bool {
+	return e.cfg.Policy == model.PolicyFixedHedge || e.hedges.spend()
+}
--- /dev/null
+++ b/core/query/sim_test.go
@@ -0,0 +1,343 @@
+package query
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/objects"
+	"galenadyke.dev/core/view"
+)
+
+// sim runs instances, a network and targets in virtual time.
+type sim struct {
+	now      time.Duration
+	seq      int
+	events   eventHeap
+	nodes    []*simNode
+	targets  map[model.TargetID]*simTarget
+	set      *objects.Set
+	hop      time.Duration // one way between instances
+	ran      map[string]int
+	inFlight map[model.TargetID]int
+	most     map[model.TargetID]int
+	answers  map[model.CallID][]model.Output
+	answered map[model.CallID]time.Duration
+	outputs  []model.Output // all outputs, if keep is set
+	keep     bool
+	onSend   func(n *simNode, s model.SendTarget) bool // true: the test replies itself
+	onPeer   func(n *simNode, m model.SendPeer) (drop bool)
+}
+
+type simNode struct {
+	s       *sim
+	id      model.InstanceID
+	life    model.Incarnation
+	e       *Engine
+	v       *fakeView
+	changes view.Changes
+	report  view.Report
+	down    bool
+	paused  bool
+	wake    time.Duration
+}
+
+type simTarget struct {
+	service time.Duration
+	life    model.Incarnation
+	reports []model.VersionReport
+	running int
+	queue   []func()
+	slots   int
+}
+
+// fakeView is a control plane that the test sets.
+type fakeView struct {
+	set       *objects.Set
+	ready     view.Readiness
+	stopping  bool
+	self      model.InstanceID
+	leads     map[model.TargetID]model.InstanceID
+	inactive  map[model.TargetID]bool
+	info      map[model.TargetID]view.TargetInfo
+	out       map[model.TargetID]bool
+	lost      map[model.InstanceID]bool
+	successor model.InstanceID
+	after     map[model.InstanceID]model.InstanceID
+}
+
+func (v *fakeView) Set() *objects.Set           { return v.set }
+func (v *fakeView) Readiness() view.Readiness   { return v.ready }
+func (v *fakeView) Stopping() bool              { return v.stopping }
+func (v *fakeView) Successor() model.InstanceID { return v.successor }
+func (v *fakeView) Lead(t model.TargetID) view.Lead {
+	l := view.Lead{Instance: v.leads[t], Address: "addr-" + string(v.leads[t]), Self: v.leads[t] == v.self}
+	l.Active = l.Self && !v.inactive[t]
+	return l
+}
+func (v *fakeView) Target(t model.TargetID) view.TargetInfo { return v.info[t] }
+func (v *fakeView) Eligible(t model.TargetID) bool          { return !v.out[t] }
+func (v *fakeView) PeerAddress(i model.InstanceID) (string, bool) {
+	return "addr-" + string(i), !v.lost[i]
+}
+func (v *fakeView) SuccessorOf(i model.InstanceID) model.InstanceID { return v.after[i] }
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(a, b int) bool {
+	return h[a].at < h[b].at || h[a].at == h[b].at && h[a].seq < h[b].seq
+}
+func (h eventHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// newSim has a search route "search" over groups of replicas, and a booking
+// route "book" over one group of targets. Target g<i>-<j> holds partition i
+// and is led by instance (i+j) modulo the number of instances.
+func newSim(instances, groups, replicas, slots int, policy model.Policy) *sim {
+	s := &sim{
+		targets: map[model.TargetID]*simTarget{}, ran: map[string]int{},
+		inFlight: map[model.TargetID]int{}, most: map[model.TargetID]int{},
+		answers: map[model.CallID][]model.Output{}, answered: map[model.CallID]time.Duration{},
+		hop: time.Millisecond,
+	}
+	s.set = &objects.Set{Generation: 1, Limits: objects.DefaultLimits()}
+	search := objects.Route{Name: "search", Kind: objects.RouteSearch}
+	for i := range groups {
+		g := objects.TargetGroup{Name: fmt.Sprintf("g%02d", i)}
+		for j := range replicas {
+			s.addTarget(&g, fmt.Sprintf("g%02d-%d", i, j), slots, uint32(i+1), groups)
+		}
+		search.Groups = append(search.Groups, g.Name)
+		s.set.Groups = append(s.set.Groups, g)
+	}
+	desk := objects.TargetGroup{Name: "desk"}
+	for j := range 3 {
+		s.addTarget(&desk, fmt.Sprintf("desk-%d", j), slots, 0, 0)
+	}
+	s.set.Groups = append(s.set.Groups, desk)
+	s.set.Routes = []objects.Route{{Name: "book", Kind: objects.RouteBooking, Groups: []string{"desk"}}, search}
+	for k := range instances {
+		s.addNode(model.InstanceID(string(rune('a'+k))), 1, policy)
+	}
+	for _, n := range s.nodes {
+		k := 0
+		for i, g := range s.set.Groups {
+			for j, t := range g.Targets {
+				n.v.leads[model.TargetID(t.Name)] = s.nodes[(i+j)%instances].id
+				if policy == model.PolicyNoSharing {
+					n.v.leads[model.TargetID(t.Name)] = n.id
+				}
+				k++
+			}
+		}
+		n.changes.Set = true
+		n.tick()
+	}
+	return s
+}
+
+func (s *sim) addTarget(g *objects.TargetGroup, name string, slots int, partition uint32, total int) {
+	g.Targets = append(g.Targets, objects.Target{Name: name, Address: name + ":1", Slots: slots, Connections: 25})
+	t := &simTarget{service: 5 * time.Millisecond, life: 1, slots: slots}
+	if total > 0 {
+		t.reports = []model.VersionReport{{Version: 7, Total: total, Partitions: []uint32{partition}}}
+	}
+	s.targets[model.TargetID(name)] = t
+}
+
+func (s *sim) addNode(id model.InstanceID, life model.Incarnation, policy model.Policy) *simNode {
+	v := &fakeView{
+		set: s.set, ready: view.Readiness{OK: true}, self: id,
+		leads: map[model.TargetID]model.InstanceID{}, inactive: map[model.TargetID]bool{},
+		info: map[model.TargetID]view.TargetInfo{}, out: map[model.TargetID]bool{},
+		lost: map[model.InstanceID]bool{}, after: map[model.InstanceID]model.InstanceID{},
+	}
+	for name, t := range s.targets {
+		v.info[name] = view.TargetInfo{Known: true, Incarnation: t.life, Level: t.slots, Versions: t.reports}
+	}
+	n := &simNode{s: s, id: id, life: life, v: v}
+	n.e = New(model.CoreConfig{
+		Self: id, Incarnation: life, Seed: 1, Policy: policy, FixedHedgeDelay: 10 * time.Millisecond,
+		BalancerDelay: 3 * time.Second, StopTimeout: 20 * time.Second,
+	}, v)
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+func (s *sim) node(id model.InstanceID) *simNode {
+	for _, n := range s.nodes {
+		if n.id == id && !n.down {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, event{s.now + d, s.seq, run})
+}
+
+// run lets the given time pass.
+func (s *sim) run(d time.Duration) {
+	end := s.now + d
+	for len(s.events) > 0 && s.events[0].at <= end {
+		ev := heap.Pop(&s.events).(event)
+		s.now = ev.at
+		ev.run()
+	}
+	s.now = end
+}
+
+func (n *simNode) step(in ...model.Input) {
+	if n.down {
+		return
+	}
+	for _, x := range in {
+		n.e.Step(x)
+	}
+	if !n.paused {
+		n.tick()
+	}
+}
+
+// change marks targets as changed in the view of the node.
+func (n *simNode) change(ids ...model.TargetID) {
+	slices.Sort(ids)
+	n.changes.Targets = ids
+	n.tick()
+}
+
+func (n *simNode) tick() {
+	if n.down || n.paused {
+		return
+	}
+	var out []model.Output
+	c := n.changes
+	n.changes = view.Changes{}
+	n.report = n.e.Tick(model.Now{Mono: n.s.now, Boot: n.s.now}, c, &out)
+	if n.s.keep {
+		n.s.outputs = append(n.s.outputs, out...)
+	}
+	for _, o := range out {
+		n.carryOut(o)
+	}
+	if w := n.e.NextWake(); w != model.NoWake && w != n.wake {
+		n.wake = w
+		n.s.after(max(0, w-n.s.now), func() {
+			if n.wake == w {
+				n.wake = 0
+				n.tick()
+			}
+		})
+	}
+}
+
+func (n *simNode) carryOut(o model.Output) {
+	s := n.s
+	switch o := o.(type) {
+	case model.SendTarget:
+		s.inFlight[o.Target]++
+		s.most[o.Target] = max(s.most[o.Target], s.inFlight[o.Target])
+		if s.onSend == nil || !s.onSend(n, o) {
+			s.serve(n, o)
+		}
+	case model.SendPeer:
+		if s.onPeer != nil && s.onPeer(n, o) {
+			return
+		}
+		s.deliver(n, o)
+	case model.SearchAnswer:
+		s.answer(o.Call, o)
+	case model.BookAnswer:
+		s.answer(o.Call, o)
+	case model.BookingIDs:
+		s.answer(o.Call, o)
+	}
+}
+
+func (s *sim) answer(c model.CallID, o model.Output) {
+	s.answers[c] = append(s.answers[c], o)
+	s.answered[c] = s.now
+}
+
+func (s *sim) deliver(n *simNode, o model.SendPeer) {
+	s.after(s.hop, func() {
+		if to := s.node(o.To); to != nil {
+			to.step(model.PeerInput{From: n.id, Incarnation: n.life, Message: o.Message})
+		}
+	})
+}
+
+// serve runs the work at its target, in at most slots at once.
+func (s *sim) serve(n *simNode, o model.SendTarget) {
+	t := s.targets[o.Target]
+	t.queue = append(t.queue, func() {
+		s.after(t.service, func() {
+			t.running--
+			t.pump()
+			s.reply(n, o, s.good(o))
+		})
+	})
+	t.pump()
+}
+
+func (t *simTarget) pump() {
+	for t.running < t.slots && len(t.queue) > 0 {
+		t.running++
+		q := t.queue[0]
+		t.queue = t.queue[1:]
+		q()
+	}
+}
+
+// good runs the work and gives the answer of a healthy target.
+func (s *sim) good(o model.SendTarget) model.TargetReply {
+	t := s.targets[o.Target]
+	if o.BookingID != "" {
+		s.ran[o.BookingID]++
+	}
+	r := model.TargetReply{
+		Work: o.Work, Execution: model.Ran, Latency: t.service,
+		Answer: model.TargetAnswer{Snapshot: o.Snapshot, Incarnation: t.life, Body: []byte(o.Target)},
+	}
+	if v := findVersion(t.reports, o.Snapshot); v != nil {
+		r.Answer.Partitions = v.Partitions
+	}
+	return r
+}
+
+func (s *sim) reply(n *simNode, o model.SendTarget, r model.TargetReply) {
+	s.inFlight[o.Target]--
+	r.Work = o.Work
+	n.step(r)
+}
+
+func (n *simNode) search(c model.CallID, budget time.Duration) {
+	n.step(model.SearchCall{Call: c, RequestID: "r", Route: "search", Budget: budget, Body: []byte("q")})
+}
+
+func (n *simNode) ids(count int) []model.BookingID {
+	n.step(model.IssueBookingIDs{Call: 1 << 40, Count: count})
+	a := n.s.answers[1<<40]
+	return a[len(a)-1].(model.BookingIDs).IDs
+}
+
+func (n *simNode) book(c model.CallID, id model.BookingID, budget time.Duration) {
+	n.step(model.BookCall{Call: c, Booking: id, Route: "book", Budget: budget, Body: []byte("b")})
+}
--- /dev/null
+++ b/core/query/topology.go
@@ -0,0 +1,201 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/objects"
+	"galenadyke.dev/core/view"
+)
+
+// topology holds the tables of targets, groups and routes. An entity keeps
+// its index for the life of the process, also while its name is unpublished,
+// so that calls in progress can hold indices.
+type topology struct {
+	targets     []target
+	groups      []group
+	routes      []route
+	targetIndex map[model.TargetID]int32
+	groupIndex  map[model.GroupID]int32
+	routeIndex  map[model.RouteID]int32
+}
+
+func (t *topology) init() {
+	t.targetIndex = map[model.TargetID]int32{}
+	t.groupIndex = map[model.GroupID]int32{}
+	t.routeIndex = map[model.RouteID]int32{}
+}
+
+// target is what the instance knows of a target, as entry and as lead.
+type target struct {
+	id        model.TargetID
+	address   string
+	slots     int
+	group     int32
+	published bool
+
+	// From the view.
+	lead     view.Lead
+	leadPeer int32 // none if the lead is this instance or unknown
+	info     view.TargetInfo
+	eligible bool
+
+	entryState
+	leadState
+}
+
+type group struct {
+	id       model.GroupID
+	replicas []int32
+	routes   []int32
+	latency  quantile // of sub-requests, as the entry sees them
+}
+
+type route struct {
+	id        model.RouteID
+	kind      objects.RouteKind
+	groups    []int32
+	published bool
+	snapshot  snapshotChoice
+}
+
+// applyChanges brings the tables up to date with the control plane.
+func (e *Engine) applyChanges(c view.Changes) {
+	if set := e.view.Set(); set != nil && (c.Set || set != e.set) {
+		e.loadSet(set)
+	}
+	for _, id := range c.Targets {
+		if i, ok := e.targetIndex[id]; ok {
+			e.refresh(i)
+		}
+	}
+	if ready := e.view.Readiness(); ready != e.ready {
+		e.ready = ready
+		e.readinessChanged()
+	}
+	for _, id := range c.LostPeers {
+		e.peerLost(id)
+	}
+}
+
+func (e *Engine) loadSet(set *objects.Set) {
+	e.set = set
+	e.setLimits(set.Limits)
+	for i := range e.targets {
+		e.targets[i].published = false
+	}
+	for i := range e.groups {
+		g := &e.groups[i]
+		g.replicas, g.routes = g.replicas[:0], g.routes[:0]
+	}
+	for i := range e.routes {
+		e.routes[i].published = false
+	}
+	for i := range set.Groups {
+		e.loadGroup(&set.Groups[i])
+	}
+	for i := range set.Routes {
+		e.loadRoute(&set.Routes[i])
+	}
+	for i := range e.targets {
+		e.refresh(int32(i))
+	}
+}
+
+func (e *Engine) loadGroup(src *objects.TargetGroup) {
+	g, ok := e.groupIndex[model.GroupID(src.Name)]
+	if !ok {
+		g = int32(len(e.groups))
+		e.groups = append(e.groups, group{id: model.GroupID(src.Name)})
+		e.groupIndex[model.GroupID(src.Name)] = g
+	}
+	for j := range src.Targets {
+		s := &src.Targets[j]
+		i, ok := e.targetIndex[model.TargetID(s.Name)]
+		if !ok {
+			i = int32(len(e.targets))
+			e.targets = append(e.targets, target{id: model.TargetID(s.Name), leadPeer: none})
+			e.targets[i].timer = e.timers.create(timerTarget, i)
+			e.targetIndex[model.TargetID(s.Name)] = i
+		}
+		t := &e.targets[i]
+		t.address, t.slots, t.group, t.published = s.Address, max(s.Slots, 1), g, true
+		e.groups[g].replicas = append(e.groups[g].replicas, i)
+	}
+}
+
+func (e *Engine) loadRoute(src *objects.Route) {
+	r, ok := e.routeIndex[model.RouteID(src.Name)]
+	if !ok {
+		r = int32(len(e.routes))
+		e.routes = append(e.routes, route{id: model.RouteID(src.Name)})
+		e.routeIndex[model.RouteID(src.Name)] = r
+	}
+	dst := &e.routes[r]
+	dst.kind, dst.published, dst.groups = src.Kind, true, dst.groups[:0]
+	dst.snapshot.stale = true
+	for _, name := range src.Groups {
+		if g, ok := e.groupIndex[model.GroupID(name)]; ok {
+			dst.groups = append(dst.groups, g)
+			e.groups[g].routes = append(e.groups[g].routes, r)
+		}
+	}
+}
+
+// refresh reads a target from the view.
+func (e *Engine) refresh(i int32) {
+	t := &e.targets[i]
+	lead, info := e.view.Lead(t.id), e.view.Target(t.id)
+	eligible := t.published && e.view.Eligible(t.id)
+	if !t.published {
+		lead = view.Lead{}
+	}
+	if eligible != t.eligible || (info.Level > 0) != (t.info.Level > 0) ||
+		(lead.Instance == "") != (t.lead.Instance == "") || info.Known != t.info.Known ||
+		!sameVersions(info.Versions, t.info.Versions) || info.Incarnation != t.info.Incarnation {
+		t.goneVersion = 0
+		for _, r := range e.groups[t.group].routes {
+			e.routes[r].snapshot.stale = true
+		}
+	}
+	before := t.lead
+	t.lead, t.info, t.eligible = lead, info, eligible
+	if before.Instance != lead.Instance {
+		t.forgetReports()
+		t.leadPeer = none
+		if !lead.Self && lead.Instance != "" {
+			t.leadPeer = e.peer(lead.Instance)
+		}
+	}
+	if t.leadPeer != none && lead.Address != "" {
+		e.peers[t.leadPeer].address = lead.Address
+	}
+	if before.Self != lead.Self {
+		e.leadChanged(i)
+	}
+	if lead.Self {
+		e.noteIncarnation(i, info.Incarnation)
+		e.capLevel(i)
+	}
+	e.markTarget(i)
+}
+
+func sameVersions(a, b []model.VersionReport) bool {
+	return slices.EqualFunc(a, b, func(x, y model.VersionReport) bool {
+		return x.Version == y.Version && x.Total == y.Total && slices.Equal(x.Partitions, y.Partitions)
+	})
+}
+
+// entryState is what the entry learned from its own sub-requests.
+type entryState struct {
+	latency     time.Duration // moving average without the wait at the lead
+	latencyAt   time.Duration
+	wait        time.Duration // last report of the lead
+	waitAt      time.Duration
+	leadLevel   int
+	sentSince   int // sub-requests since that report
+	goneVersion model.SnapshotVersion
+}
+
+func (s *entryState) forgetReports() { s.wait, s.sentSince, s.leadLevel = 0, 0, 0 }
