query: refuse early and keep goodput under overload

A version refusal now ages out after two probes instead of lasting until the next change of a report, a lead counts the service time when it refuses hopeless work, a release that belongs to an earlier handover is ignored, and nothing runs after the booking ids were handed over.

--- a/core/query/booking.go
+++ b/core/query/booking.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return none, err
 	}
-	if e.bookings.running >= e.limits.MaxInFlight {
+	if e.bookings.running >= e.limits.MaxInFlight || e.callCount() > e.limits.MaxInFlight {
 		return none, tooManyCalls()
 	}
 	if len(e.routes[r].groups) == 0 {
--- a/core/query/forward.go
+++ b/core/query/forward.go
@@ -17,6 +17,11 @@
 // owner and its successor.
 const maxHops = 2
 
+// repeatFactor is how far booking calls may exceed the limit of calls. Only
+// the owner can tell truly that an id has not run, so a call whose owner is
+// not asked is answered "unknown".
+const repeatFactor = 2
+
 func (b *bookWait) reset() { *b = bookWait{peer: none, prev: none, next: none} }
 
 // bookCall takes a booking from a caller.
@@ -30,6 +35,11 @@
 		e.emit(model.BookAnswer{Call: in.Call, Booking: in.Booking, Error: err})
 		return
 	}
+	if e.callCount() >= repeatFactor*e.limits.MaxInFlight {
+		e.emit(model.BookAnswer{Call: in.Call, Booking: in.Booking,
+			Error: &model.Error{Kind: model.KindTooManyCalls, Execution: model.Unknown, Message: msgUnknown}})
+		return
+	}
 	i, c := e.newCall(in.Call, in.RequestID, in.Trace, in.Body, in.Budget)
 	c.booking.active, c.booking.id, c.booking.route = true, in.Booking, in.Route
 	if ownerOf(in.Booking) != e.owner() {
--- a/core/query/queue.go
+++ b/core/query/queue.go
@@ -85,7 +85,7 @@
 		return model.KindNone
 	case !t.lead.Self:
 		return model.KindNotLead
-	case e.now+e.waitBefore(w) >= w.deadline:
+	case e.now+e.waitBefore(w)+e.leastTime(w) >= w.deadline:
 		return model.KindOverloaded
 	}
 	return model.KindNone
@@ -116,7 +116,8 @@
 		}
 	}
 	if len(t.queue) > 0 {
-		e.timers.set(t.timer, e.works.at(t.queue[0]).deadline)
+		first := e.works.at(t.queue[0])
+		e.timers.set(t.timer, first.deadline-e.leastTime(first))
 	} else {
 		e.timers.clear(t.timer)
 	}
@@ -226,7 +227,8 @@
 		e.workDone(i, outcome{err: model.KindCancelled, execution: model.NotRun})
 		return
 	}
-	if !w.cancelled {
+	if !w.cancelled && w.booking == "" {
+		// A booking in flight goes on: its outcome is recorded for repeats.
 		w.cancelled = true
 		e.emit(model.CancelTarget{Work: e.workID(i)})
 	}
--- a/core/query/replica.go
+++ b/core/query/replica.go
@@ -18,15 +18,15 @@
 }
 
 // chooseReplica returns the replica of the part's group that is expected to
-// answer first, none if there is none that has not been asked. A hedge goes to
-// another lead than that of the target avoid.
+// answer first, none if there is none that has not been asked. A hedge avoids
+// the remote lead of the first attempt, which may be what is slow.
 func (e *Engine) chooseReplica(c *call, p *part, avoid int32) int32 {
 	best, bestTime, ties := none, time.Duration(0), 1
 	for _, i := range e.groups[p.group].replicas {
 		if contains(p.tried, i) || !e.serves(i, c.search.snapshot) {
 			continue
 		}
-		if avoid != none && !e.direct() && e.targets[i].lead.Instance == e.targets[avoid].lead.Instance {
+		if avoid != none && e.sameRemoteLead(i, avoid) {
 			continue
 		}
 		best, bestTime, ties = e.better(i, best, bestTime, ties)
@@ -34,6 +34,11 @@
 	return best
 }
 
+func (e *Engine) sameRemoteLead(a, b int32) bool {
+	x, y := &e.targets[a].lead, &e.targets[b].lead
+	return !e.direct() && !x.Self && x.Instance == y.Instance
+}
+
 // better returns the better of a target and the best so far. Equal ones are
 // chosen at random, so that entries without knowledge spread their work.
 func (e *Engine) better(i, best int32, bestTime time.Duration, ties int) (int32, time.Duration, int) {
--- a/core/query/snapshot.go
+++ b/core/query/snapshot.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/view"
 )
 
 // maxPartitions bounds the partitions of a version, so that a wrong report
@@ -13,6 +15,7 @@
 // snapshotChoice is the newest version that every group of a route can serve.
 type snapshotChoice struct {
 	stale   bool
+	until   time.Duration         // when a refused version may be asked for again
 	version model.SnapshotVersion // zero if there is none
 	total   int
 	left    []bool // groups without an eligible replica
@@ -22,7 +25,7 @@
 // choose returns the snapshot for new searches on the route.
 func (e *Engine) choose(r int32) *snapshotChoice {
 	choice := &e.routes[r].snapshot
-	if choice.stale {
+	if choice.stale || e.now >= choice.until {
 		e.rechoose(&e.routes[r])
 	}
 	return choice
@@ -30,7 +33,7 @@
 
 func (e *Engine) rechoose(r *route) {
 	s := &r.snapshot
-	*s = snapshotChoice{left: slices.Grow(s.left[:0], len(r.groups))[:len(r.groups)]}
+	*s = snapshotChoice{left: slices.Grow(s.left[:0], len(r.groups))[:len(r.groups)], until: e.refusedUntil(r)}
 	first := none
 	for k, g := range r.groups {
 		s.left[k] = !slices.ContainsFunc(e.groups[g].replicas, e.searchable)
@@ -64,7 +67,7 @@
 // serves reports whether the target may get a search of the version.
 func (e *Engine) serves(i int32, v model.SnapshotVersion) bool {
 	t := &e.targets[i]
-	return e.usable(t) && t.goneVersion < v && findVersion(t.info.Versions, v) != nil
+	return e.usable(t) && (t.goneVersion < v || e.now >= t.goneUntil) && findVersion(t.info.Versions, v) != nil
 }
 
 func (e *Engine) groupServes(g int32, v model.SnapshotVersion) bool {
@@ -120,7 +123,7 @@
 func (e *Engine) restartIfGone(i int32) bool {
 	c := e.calls.at(i)
 	s := &c.search
-	if c.deadline-e.now < c.budget/2 {
+	if c.arrived+c.budget-e.now < c.budget/2 {
 		return false
 	}
 	for k := range s.parts {
@@ -140,14 +143,28 @@
 	return false
 }
 
-// versionGone notes that a target refused a version that it had reported, so
-// that it is not asked for it again before its next report.
+// versionGoneTime is the time for which a refused version is not asked for
+// again: two probes, so that the lead's next report decides.
+const versionGoneTime = 2 * view.ProbeInterval
+
+// refusedUntil is the first time at which the choice has to be made again
+// because the refusal of a version has aged.
+func (e *Engine) refusedUntil(r *route) time.Duration {
+	until := model.NoWake
+	for _, g := range r.groups {
+		for _, i := range e.groups[g].replicas {
+			if t := &e.targets[i]; t.goneUntil > e.now {
+				until = min(until, t.goneUntil)
+			}
+		}
+	}
+	return until
+}
+
+// versionGone notes that a target refused a version that it had reported.
 func (e *Engine) versionGone(i int32, v model.SnapshotVersion) {
 	t := &e.targets[i]
-	if t.goneVersion >= v {
-		return
-	}
-	t.goneVersion = v
+	t.goneVersion, t.goneUntil = max(t.goneVersion, v), e.now+versionGoneTime
 	for _, r := range e.groups[t.group].routes {
 		e.routes[r].snapshot.stale = true
 	}
--- a/core/query/stop.go
+++ b/core/query/stop.go
@@ -21,7 +21,7 @@
 	if !e.view.Stopping() {
 		return false
 	}
-	return !e.ready.OK || e.stop.begun && e.now >= e.stop.since+e.cfg.BalancerDelay
+	return e.stop.handed || !e.ready.OK || e.stop.begun && e.now >= e.stop.since+e.cfg.BalancerDelay
 }
 
 // runStop hands the booking ids over once nothing is in progress.
--- a/core/query/topology.go
+++ b/core/query/topology.go
@@ -154,7 +154,7 @@
 	if eligible != t.eligible || (info.Level > 0) != (t.info.Level > 0) ||
 		(lead.Instance == "") != (t.lead.Instance == "") || info.Known != t.info.Known ||
 		!sameVersions(info.Versions, t.info.Versions) || info.Incarnation != t.info.Incarnation {
-		t.goneVersion = 0
+		t.goneVersion, t.goneUntil = 0, 0
 		for _, r := range e.groups[t.group].routes {
 			e.routes[r].snapshot.stale = true
 		}
@@ -194,8 +194,9 @@
 	wait        time.Duration // last report of the lead
 	waitAt      time.Duration
 	leadLevel   int
-	sentSince   int // sub-requests since that report
-	goneVersion model.SnapshotVersion
+	sentSince   int                   // sub-requests since that report
+	goneVersion model.SnapshotVersion // refused lately, with all older ones
+	goneUntil   time.Duration
 }
 
 func (s *entryState) forgetReports() { s.wait, s.sentSince, s.leadLevel = 0, 0, 0 }
--- a/core/query/warm.go
+++ b/core/query/warm.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/view"
 )
 
 const (
@@ -14,6 +15,9 @@
 	jumpRun    = 3
 	jumpFactor = 4
 	jumpFloor  = 20 * time.Millisecond
+	// A release that arrived earlier than this before the lead changed belongs
+	// to an earlier handover.
+	releaseMaxAge = 2 * view.HandoverWait
 )
 
 // warmth is what the lead knows of how much a target can sustain.
@@ -26,7 +30,8 @@
 	foreign     int           // work of others that the target reported
 
 	released      model.ReleasedTarget // last word of the lead before, if any
-	draining      bool                 // no longer led, work still in flight
+	releasedAt    time.Duration
+	draining      bool // no longer led, work still in flight
 	observedDirty bool
 }
 
@@ -67,7 +72,7 @@
 func (e *Engine) leadRelease(m model.LeadRelease) {
 	for _, r := range m.Targets {
 		if i, ok := e.targetIndex[r.Target]; ok {
-			e.targets[i].released = r
+			e.targets[i].released, e.targets[i].releasedAt = r, e.now
 			e.takeRelease(i)
 		}
 	}
@@ -80,7 +85,7 @@
 	if t.released.Target == "" || !t.lead.Self {
 		return
 	}
-	if t.service == 0 && len(t.flight) == 0 && t.released.Level > 0 &&
+	if t.service == 0 && len(t.flight) == 0 && t.released.Level > 0 && e.now <= t.releasedAt+releaseMaxAge &&
 		(t.incarnation == 0 || t.released.Incarnation == t.incarnation) {
 		t.incarnation = t.released.Incarnation
 		e.setLevel(i, t.released.Level)
