query: test bookings and searches against each fault

The booking matrix injects one fault at each step between caller, owner, lead and target, then repeats the call; the search matrix changes index versions and answers under a query.

--- /dev/null
+++ b/core/query/booking_test.go
@@ -0,0 +1,297 @@
+package query
+
+import (
+	"testing"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/objects"
+	"galenadyke.dev/core/view"
+)
+
+// rig is a booking that enters at b, is owned by a, and runs at targets that c
+// leads.
+type rig struct {
+	*sim
+	a, b, c *simNode
+	id      model.BookingID
+	sends   int
+}
+
+func newRig() *rig {
+	s := newSim(3, 1, 2, 2, model.PolicyFull)
+	r := &rig{sim: s, a: s.nodes[0], b: s.nodes[1], c: s.nodes[2]}
+	for _, n := range s.nodes {
+		for _, t := range []model.TargetID{"desk-0", "desk-1", "desk-2"} {
+			n.v.leads[t] = "c"
+		}
+		n.change("desk-0", "desk-1", "desk-2")
+	}
+	r.id = r.a.ids(1)[0]
+	return r
+}
+
+// firstSend replaces what happens to the first SendTarget.
+func (r *rig) firstSend(f func(n *simNode, o model.SendTarget)) {
+	r.onSend = func(n *simNode, o model.SendTarget) bool {
+		r.sends++
+		if r.sends > 1 {
+			return false
+		}
+		f(n, o)
+		return true
+	}
+}
+
+func (r *rig) replyWith(kind model.Kind, x model.Execution, reset bool) func(*simNode, model.SendTarget) {
+	return func(n *simNode, o model.SendTarget) {
+		r.after(time.Millisecond, func() { r.reply(n, o, model.TargetReply{Error: kind, Execution: x, Reset: reset}) })
+	}
+}
+
+// lose drops the first message that match selects.
+func (r *rig) lose(match func(model.PeerMessage) bool) {
+	done := false
+	r.onPeer = func(_ *simNode, m model.SendPeer) bool {
+		drop := !done && match(m.Message)
+		done = done || drop
+		return drop
+	}
+}
+
+// twice delivers each message that match selects again, at once and late.
+func (r *rig) twice(match func(model.PeerMessage) bool) {
+	r.onPeer = func(n *simNode, m model.SendPeer) bool {
+		if match(m.Message) {
+			r.deliver(n, m)
+			r.after(300*time.Millisecond, func() { r.deliver(n, m) })
+		}
+		return false
+	}
+}
+
+func is[T model.PeerMessage](m model.PeerMessage) bool { _, ok := m.(T); return ok }
+
+// dies makes an instance vanish after the given time and breaks its streams.
+func (r *rig) dies(n *simNode, d time.Duration) {
+	r.after(d, func() {
+		n.down = true
+		for _, other := range r.nodes {
+			other.step(model.PeerDown{Peer: n.id})
+		}
+	})
+}
+
+const (
+	ran     = model.Ran
+	notRun  = model.NotRun
+	unknown = model.Unknown
+)
+
+// Guards against a booking that runs twice, an untrue "not run", and a repeat
+// with another outcome, for each fault at each step (design 3.5).
+func TestBookingFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		fault   func(r *rig)
+		first   model.Execution
+		runs    int
+		repeat  model.Execution
+		noOwner bool // the repeat's outcome is not a record of the owner
+	}{
+		{name: "no fault", fault: func(*rig) {}, first: ran, runs: 1, repeat: ran},
+		{name: "target refuses before execution", fault: func(r *rig) {
+			r.firstSend(r.replyWith(model.KindTargetShed, notRun, false))
+		}, first: ran, runs: 1, repeat: ran},
+		{name: "target dies before the write", fault: func(r *rig) {
+			r.firstSend(r.replyWith(model.KindTargetConnection, notRun, true))
+		}, first: ran, runs: 1, repeat: ran},
+		{name: "all targets refuse", fault: func(r *rig) {
+			r.onSend = func(n *simNode, o model.SendTarget) bool {
+				r.replyWith(model.KindTargetShed, notRun, false)(n, o)
+				return true
+			}
+		}, first: notRun, runs: 0, repeat: notRun},
+		{name: "target dies during execution", fault: func(r *rig) {
+			r.firstSend(r.replyWith(model.KindTargetConnection, unknown, true))
+		}, first: unknown, runs: 0, repeat: unknown},
+		{name: "answer of the target lost", fault: func(r *rig) {
+			r.firstSend(func(n *simNode, o model.SendTarget) {
+				r.good(o)
+				r.replyWith(model.KindTargetConnection, unknown, true)(n, o)
+			})
+		}, first: unknown, runs: 1, repeat: unknown},
+		{name: "answer of the target after the deadline", fault: func(r *rig) {
+			r.firstSend(func(n *simNode, o model.SendTarget) {
+				r.after(1200*time.Millisecond, func() { r.reply(n, o, r.good(o)) })
+			})
+		}, first: unknown, runs: 1, repeat: ran},
+		{name: "refusal after the deadline", fault: func(r *rig) {
+			r.firstSend(func(n *simNode, o model.SendTarget) {
+				r.after(1200*time.Millisecond, func() { r.replyWith(model.KindTargetShed, notRun, false)(n, o) })
+			})
+		}, first: unknown, runs: 0, repeat: notRun},
+		{name: "contradictory answer", fault: func(r *rig) {
+			r.firstSend(r.replyWith(model.KindTargetAnswer, unknown, false))
+		}, first: unknown, runs: 0, repeat: unknown},
+		{name: "relay lost", fault: func(r *rig) { r.lose(is[model.RelayRequest]) },
+			first: unknown, runs: 0, repeat: unknown},
+		{name: "relay repeated", fault: func(r *rig) { r.twice(is[model.RelayRequest]) },
+			first: ran, runs: 1, repeat: ran},
+		{name: "relay outcome lost", fault: func(r *rig) { r.lose(is[model.RelayReply]) },
+			first: unknown, runs: 1, repeat: unknown},
+		{name: "relay outcome repeated", fault: func(r *rig) { r.twice(is[model.RelayReply]) },
+			first: ran, runs: 1, repeat: ran},
+		{name: "lead dies before the write", fault: func(r *rig) {
+			for _, id := range []model.TargetID{"desk-0", "desk-1", "desk-2"} {
+				r.c.v.inactive[id] = true
+			}
+			r.c.change("desk-0", "desk-1", "desk-2")
+			r.dies(r.c, 50*time.Millisecond)
+		}, first: unknown, runs: 0, repeat: unknown},
+		{name: "lead dies after the write", fault: func(r *rig) { r.dies(r.c, 4*time.Millisecond) },
+			first: unknown, runs: 1, repeat: unknown},
+		{name: "lead pauses with the message unread", fault: func(r *rig) {
+			r.c.paused = true
+			r.after(1200*time.Millisecond, func() {
+				// The control plane sees the pause and waits for confirmation.
+				r.c.v.ready = view.Readiness{Kind: model.KindUnconfirmed}
+				r.c.paused = false
+				r.c.tick()
+			})
+		}, first: unknown, runs: 0, repeat: notRun},
+		{name: "lead pauses with the booking queued", fault: func(r *rig) {
+			for _, id := range []model.TargetID{"desk-0", "desk-1", "desk-2"} {
+				r.c.v.inactive[id] = true
+			}
+			r.c.change("desk-0", "desk-1", "desk-2")
+			r.after(50*time.Millisecond, func() { r.c.paused = true })
+			r.after(1200*time.Millisecond, func() {
+				r.c.v.inactive = map[model.TargetID]bool{}
+				r.c.paused = false
+				r.c.change("desk-0", "desk-1", "desk-2")
+			})
+		}, first: unknown, runs: 0, repeat: notRun},
+		{name: "asked instance does not lead", fault: func(r *rig) {
+			r.c.v.leads = map[model.TargetID]model.InstanceID{"desk-0": "b", "desk-1": "b", "desk-2": "b"}
+			r.c.change("desk-0", "desk-1", "desk-2")
+		}, first: notRun, runs: 0, repeat: notRun},
+		{name: "lead moves while queued", fault: func(r *rig) {
+			for _, id := range []model.TargetID{"desk-0", "desk-1", "desk-2"} {
+				r.c.v.inactive[id] = true
+			}
+			r.c.change("desk-0", "desk-1", "desk-2")
+			r.after(50*time.Millisecond, func() {
+				for _, n := range r.nodes {
+					n.v.leads["desk-0"], n.v.leads["desk-1"], n.v.leads["desk-2"] = "b", "b", "b"
+				}
+				for _, n := range r.nodes {
+					n.change("desk-0", "desk-1", "desk-2")
+				}
+			})
+		}, first: ran, runs: 1, repeat: ran},
+		{name: "forward lost", fault: func(r *rig) { r.lose(is[model.BookForward]) },
+			first: unknown, runs: 0, repeat: ran},
+		{name: "forward repeated", fault: func(r *rig) { r.twice(is[model.BookForward]) },
+			first: ran, runs: 1, repeat: ran},
+		{name: "outcome lost", fault: func(r *rig) { r.lose(is[model.BookOutcome]) },
+			first: unknown, runs: 1, repeat: ran},
+		{name: "outcome repeated", fault: func(r *rig) { r.twice(is[model.BookOutcome]) },
+			first: ran, runs: 1, repeat: ran},
+		{name: "owner dies before it sends", fault: func(r *rig) { r.dies(r.a, 0) },
+			first: unknown, runs: 0, repeat: unknown, noOwner: true},
+		{name: "owner dies after it sends", fault: func(r *rig) { r.dies(r.a, 4*time.Millisecond) },
+			first: unknown, runs: 1, repeat: unknown, noOwner: true},
+		{name: "owner restarts", fault: func(r *rig) {
+			r.a.down = true
+			r.addNode("a", 2, model.PolicyFull).tick()
+		}, first: unknown, runs: 0, repeat: unknown, noOwner: true},
+		{name: "partition between entry and owner", fault: func(r *rig) {
+			r.onPeer = func(n *simNode, m model.SendPeer) bool {
+				return n.id == "b" && m.To == "a" || n.id == "a" && m.To == "b"
+			}
+		}, first: unknown, runs: 0, repeat: ran},
+		{name: "owner not confirmed", fault: func(r *rig) {
+			r.a.v.ready = view.Readiness{Kind: model.KindUnconfirmed}
+		}, first: notRun, runs: 0, repeat: notRun},
+		{name: "targets taken out", fault: func(r *rig) {
+			for _, n := range r.nodes {
+				n.v.out["desk-0"], n.v.out["desk-1"], n.v.out["desk-2"] = true, true, true
+				n.change("desk-0", "desk-1", "desk-2")
+			}
+		}, first: notRun, runs: 0, repeat: notRun},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig()
+			tc.fault(r)
+			r.b.book(1, r.id, time.Second)
+			r.run(2 * time.Second)
+			if x := execution(bookOf(t, r.sim, 1)); x != tc.first || r.ran[r.id.String()] != tc.runs {
+				t.Errorf("first call: %v, ran %d times, want %v, %d", x, r.ran[r.id.String()], tc.first, tc.runs)
+			}
+			r.onPeer, r.onSend = nil, nil
+			for _, n := range r.nodes {
+				n.v.ready = view.Readiness{OK: true}
+				n.tick()
+			}
+			r.b.book(2, r.id, time.Second)
+			r.run(2 * time.Second)
+			a := bookOf(t, r.sim, 2)
+			if x := execution(a); x != tc.repeat || r.ran[r.id.String()] > 1 {
+				t.Errorf("repeat: %v, ran %d times, want %v", x, r.ran[r.id.String()], tc.repeat)
+			}
+			if first := tc.runs == 0 && tc.repeat == ran; a.Repeat == (first || tc.noOwner) {
+				t.Errorf("repeat has Repeat = %v", a.Repeat)
+			}
+		})
+	}
+}
+
+func execution(a model.BookAnswer) model.Execution {
+	if a.Error != nil {
+		return a.Error.Execution
+	}
+	return model.Ran
+}
+
+// Guards against a second run, or a different outcome, when a caller repeats a
+// call at once, at the owner, at a third instance, after giving up, with
+// another body, and after the valid time.
+func TestBookingRepeats(t *testing.T) {
+	r := newRig()
+	spare := r.a.ids(1)[0]
+	r.b.book(1, r.id, time.Second)
+	r.b.book(2, r.id, time.Second)
+	r.a.book(3, r.id, time.Second)
+	r.c.book(4, r.id, time.Second)
+	r.b.step(model.CancelCall{Call: 1})
+	r.run(time.Second)
+	r.c.step(model.BookCall{Call: 5, Booking: r.id, Route: "book", Budget: time.Second, Body: []byte("other")})
+	r.run(objects.DefaultLimits().ReservationTTL)
+	r.b.book(6, r.id, time.Second)
+	r.b.book(7, spare, time.Second)
+	r.b.book(8, model.BookingID{Owner: "a", Incarnation: 1, Counter: 99}, time.Second)
+	r.run(time.Second)
+	want := map[model.CallID]struct {
+		kind model.Kind
+		x    model.Execution
+	}{
+		1: {model.KindCancelled, unknown}, 2: {0, ran}, 3: {0, ran}, 4: {0, ran},
+		5: {model.KindBookingConflict, notRun}, 6: {model.KindBookingExpired, unknown},
+		7: {model.KindBookingExpired, notRun}, 8: {model.KindBadBookingID, notRun},
+	}
+	for c := model.CallID(1); c <= 8; c++ {
+		a := bookOf(t, r.sim, c)
+		kind := model.KindNone
+		if a.Error != nil {
+			kind = a.Error.Kind
+		}
+		if kind != want[c].kind || execution(a) != want[c].x {
+			t.Errorf("call %d: %v %v, want %v %v", c, kind, execution(a), want[c].kind, want[c].x)
+		}
+	}
+	if n := r.ran[r.id.String()]; n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
--- /dev/null
+++ b/core/query/search_test.go
@@ -0,0 +1,265 @@
+package query
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/view"
+)
+
+func held(v model.SnapshotVersion, total int, partitions ...uint32) model.VersionReport {
+	return model.VersionReport{Version: v, Total: total, Partitions: partitions}
+}
+
+// report makes a target serve the versions and tells all views.
+func (s *sim) report(id model.TargetID, reports ...model.VersionReport) {
+	s.targets[id].reports = reports
+	for _, n := range s.nodes {
+		info := n.v.info[id]
+		info.Versions = reports
+		n.v.info[id] = info
+		n.change(id)
+	}
+}
+
+func (s *sim) takeOut(ids ...model.TargetID) {
+	for _, n := range s.nodes {
+		for _, id := range ids {
+			n.v.out[id] = true
+		}
+		n.change(ids...)
+	}
+}
+
+// answers changes the replies of targets that edit selects.
+func (s *sim) edit(edit func(o model.SendTarget, r *model.TargetReply) bool) {
+	s.onSend = func(n *simNode, o model.SendTarget) bool {
+		r := s.good(o)
+		if !edit(o, &r) {
+			return false
+		}
+		s.after(s.targets[o.Target].service, func() { s.reply(n, o, r) })
+		return true
+	}
+}
+
+// gone makes the targets refuse version 7 and serve version 8.
+func gone(s *sim, ids ...model.TargetID) {
+	s.edit(func(o model.SendTarget, r *model.TargetReply) bool {
+		*r = model.TargetReply{Error: model.KindVersionGone, Execution: notRun}
+		return slices.Contains(ids, o.Target) && o.Snapshot == 7
+	})
+}
+
+// Guards against mixed versions, wrong coverage and missed retries when the
+// index changes, or targets contradict themselves, under a query (design 3.3).
+func TestSearchFaults(t *testing.T) {
+	both := func(s *sim, total int) {
+		s.report("g00-0", held(7, 2, 1), held(8, total, 1))
+		s.report("g00-1", held(7, 2, 1), held(8, total, 1))
+		s.report("g01-0", held(7, 2, 2), held(8, total, 2, 3))
+		s.report("g01-1", held(7, 2, 2), held(8, total, 2, 3))
+	}
+	only := func(id model.TargetID, change func(*model.TargetAnswer)) func(*sim) {
+		return func(s *sim) {
+			s.edit(func(o model.SendTarget, r *model.TargetReply) bool {
+				change(&r.Answer)
+				return o.Target == id || id == "" && o.Target[:3] == "g00"
+			})
+			if id != "" {
+				s.takeOutUntil("g00-1", time.Millisecond)
+			}
+		}
+	}
+	cases := []struct {
+		name     string
+		setup    func(s *sim)
+		snapshot model.SnapshotVersion
+		searched int
+		total    int
+		retries  int
+		restarts int
+		kind     model.Kind
+	}{
+		{"no fault", func(*sim) {}, 7, 2, 2, 0, 0, 0},
+		{"newest common version", func(s *sim) { both(s, 3) }, 8, 3, 3, 0, 0, 0},
+		{"one group lacks the newest version", func(s *sim) {
+			s.report("g00-0", held(7, 2, 1), held(8, 2, 1))
+		}, 7, 2, 2, 0, 0, 0},
+		{"reports disagree on the total", func(s *sim) {
+			both(s, 3)
+			s.report("g01-1", held(7, 2, 2), held(8, 4, 2, 3))
+		}, 7, 2, 2, 0, 0, 0},
+		{"partition above the total", func(s *sim) {
+			both(s, 3)
+			s.report("g01-1", held(7, 2, 2), held(8, 3, 2, 4000000000))
+		}, 7, 2, 2, 0, 0, 0},
+		{"no common version", func(s *sim) {
+			s.report("g00-0", held(8, 2, 1))
+			s.report("g00-1", held(8, 2, 1))
+		}, 0, 0, 0, 0, 0, model.KindNoSnapshot},
+		{"group taken out", func(s *sim) { s.takeOut("g00-0", "g00-1") }, 7, 1, 2, 0, 0, 0},
+		{"all taken out", func(s *sim) { s.takeOut("g00-0", "g00-1", "g01-0", "g01-1") }, 0, 0, 0, 0, 0, model.KindNoTarget},
+		{"replicas hold the same partition in two groups", func(s *sim) {
+			s.report("g01-0", held(7, 2, 1, 2))
+			s.report("g01-1", held(7, 2, 1, 2))
+		}, 7, 2, 2, 0, 0, 0},
+		{"version retired at once", func(s *sim) {
+			s.report("g00-0", held(7, 2, 1))
+			s.after(time.Millisecond, func() { both(s, 3) })
+			gone(s, "g00-0", "g00-1")
+		}, 8, 3, 3, 1, 1, 0},
+		{"version retired too late for a restart", func(s *sim) {
+			s.after(time.Millisecond, func() { both(s, 3) })
+			for _, id := range []model.TargetID{"g00-0", "g00-1"} {
+				s.targets[id].service = 40 * time.Millisecond
+			}
+			gone(s, "g00-0", "g00-1")
+		}, 7, 1, 2, 1, 0, 0},
+		{"truncated answer", only("g00-0", func(a *model.TargetAnswer) { a.Truncated = true }), 7, 2, 2, 1, 0, 0},
+		{"wrong version", only("g00-0", func(a *model.TargetAnswer) { a.Snapshot = 6 }), 7, 2, 2, 1, 0, 0},
+		{"foreign partition", only("g00-0", func(a *model.TargetAnswer) { a.Partitions = []uint32{1, 2} }), 7, 2, 2, 1, 0, 0},
+		{"absurd partition", only("g00-0", func(a *model.TargetAnswer) { a.Partitions = []uint32{1, 4e9} }), 7, 2, 2, 1, 0, 0},
+		{"lacking partition", only("g00-0", func(a *model.TargetAnswer) { a.Partitions = nil }), 7, 2, 2, 1, 0, 0},
+		{"all truncated", only("", func(a *model.TargetAnswer) { a.Truncated = true }), 7, 1, 2, 1, 0, 0},
+		{"lead dies", func(s *sim) {
+			s.takeOutUntil("g00-0", time.Millisecond)
+			s.after(3*time.Millisecond, func() {
+				s.nodes[1].down = true
+				s.nodes[0].step(model.PeerDown{Peer: "b"})
+			})
+		}, 7, 2, 2, 1, 0, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSim(2, 2, 2, 2, model.PolicyFull)
+			tc.setup(s)
+			s.nodes[0].search(1, callBudget)
+			s.run(time.Second)
+			a := searchOf(t, s, 1)
+			kind := model.KindNone
+			if a.Error != nil {
+				kind = a.Error.Kind
+			}
+			if a.Snapshot != tc.snapshot || a.Searched != tc.searched || a.Total != tc.total ||
+				a.Stats.Retries != tc.retries || a.Stats.Restarts != tc.restarts || kind != tc.kind {
+				t.Errorf("%+v, error %v; want %+v", a, a.Error, tc)
+			}
+			if s.answered[1] > callBudget {
+				t.Errorf("answered after %v", s.answered[1])
+			}
+		})
+	}
+}
+
+// takeOutUntil keeps a target out until the first sub-requests are sent.
+func (s *sim) takeOutUntil(id model.TargetID, d time.Duration) {
+	s.takeOut(id)
+	s.after(d, func() {
+		for _, n := range s.nodes {
+			n.v.out[id] = false
+			n.change(id)
+		}
+	})
+}
+
+// Guards against a second answer, or a changed one, after repeated and late
+// replies, and against work that outlives its query.
+func TestLateAndRepeatedReplies(t *testing.T) {
+	s := newSim(2, 2, 2, 2, model.PolicyFull)
+	s.keep = true
+	s.targets["g00-0"].service = 300 * time.Millisecond
+	s.targets["g00-1"].service = 300 * time.Millisecond
+	s.onPeer = func(n *simNode, m model.SendPeer) bool {
+		s.deliver(n, m)
+		return false
+	}
+	s.nodes[0].search(1, callBudget)
+	s.run(time.Second)
+	if a := searchOf(t, s, 1); a.Searched != 1 || !slices.Equal(a.Missing, []model.GroupID{"g00"}) {
+		t.Errorf("%+v", a)
+	}
+	if at := s.answered[1]; at != callBudget-7*time.Millisecond {
+		t.Errorf("answered after %v, want the budget less the reserve of 5 %%", at)
+	}
+	cancels := 0
+	for _, o := range s.outputs {
+		if _, ok := o.(model.CancelTarget); ok {
+			cancels++
+		}
+	}
+	if cancels != 1 {
+		t.Errorf("%d cancellations, want 1", cancels)
+	}
+}
+
+// Guards against new work for targets that are leaving, in every way that
+// work can start: search, retry, hedge, queue, relay and booking (design 3.8).
+func TestLeaving(t *testing.T) {
+	s := newSim(2, 2, 2, 1, model.PolicyFull)
+	out := []model.TargetID{"g00-0", "g01-0", "desk-0"}
+	late := 0
+	left := false
+	s.onSend = func(n *simNode, o model.SendTarget) bool {
+		if left && slices.Contains(out, o.Target) {
+			late++
+		}
+		return false
+	}
+	for k := range 40 {
+		s.after(time.Duration(k)*2*time.Millisecond, func() { s.nodes[k%2].search(model.CallID(k+1), callBudget) })
+	}
+	s.after(30*time.Millisecond, func() {
+		left = true
+		s.takeOut(out...)
+	})
+	s.run(time.Second)
+	if late > 0 {
+		t.Errorf("%d requests were sent to targets that had been taken out", late)
+	}
+	for k := range 40 {
+		searchOf(t, s, model.CallID(k+1))
+	}
+	// A lagging entry relays to a lead that already knows.
+	s.nodes[0].v.out = map[model.TargetID]bool{}
+	s.nodes[0].change(out...)
+	id := s.nodes[0].ids(1)[0]
+	s.nodes[0].search(100, callBudget)
+	s.nodes[0].book(101, id, time.Second)
+	s.run(time.Second)
+	for _, o := range out {
+		if s.nodes[0].v.leads[o] == "b" && s.inFlight[o] != 0 {
+			t.Errorf("%s got relayed work", o)
+		}
+	}
+	if a := searchOf(t, s, 100); a.Searched != 2 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Guards against work that is sent while the configuration is not confirmed.
+func TestReadinessLoss(t *testing.T) {
+	s := newSim(1, 1, 2, 1, model.PolicyFull)
+	n := s.nodes[0]
+	for k := range 6 {
+		n.search(model.CallID(k+1), callBudget)
+	}
+	id := n.ids(1)[0]
+	n.v.ready = view.Readiness{Kind: model.KindUnconfirmed}
+	s.onSend = func(*simNode, model.SendTarget) bool { t.Error("work sent"); return false }
+	n.tick()
+	n.search(10, callBudget)
+	n.book(11, id, time.Second)
+	s.run(time.Second)
+	for k := range 6 {
+		searchOf(t, s, model.CallID(k+1))
+	}
+	if a := searchOf(t, s, 10); a.Error == nil || a.Error.Kind != model.KindUnconfirmed || a.Error.Execution != notRun {
+		t.Errorf("search: %v", a.Error)
+	}
+	if a := bookOf(t, s, 11); a.Error == nil || a.Error.Kind != model.KindUnconfirmed || a.Error.Execution != notRun {
+		t.Errorf("booking: %v", a.Error)
+	}
+}
