query: test warm-up, lead handover and the graceful stop

The level must rise only by completed work and fall at each sign of a cold start; a release is reported after the last work and its level counts only for its incarnation; a stopped owner's ids are answered by the successor.

--- a/core/query/sim_test.go
+++ b/core/query/sim_test.go
@@ -39,6 +39,7 @@
 	v       *fakeView
 	changes view.Changes
 	report  view.Report
+	drained []view.Drained
 	down    bool
 	paused  bool
 	wake    time.Duration
@@ -231,6 +232,7 @@
 	c := n.changes
 	n.changes = view.Changes{}
 	n.report = n.e.Tick(model.Now{Mono: n.s.now, Boot: n.s.now}, c, &out)
+	n.drained = append(n.drained, n.report.Drained...)
 	if n.s.keep {
 		n.s.outputs = append(n.s.outputs, out...)
 	}
--- /dev/null
+++ b/core/query/stop_test.go
@@ -0,0 +1,90 @@
+package query
+
+import (
+	"testing"
+	"time"
+
+	"galenadyke.dev/core/model"
+)
+
+// Guards against calls lost in a graceful stop, work started after it, and
+// repeats that get another outcome from the successor (design 3.9).
+func TestStop(t *testing.T) {
+	s := newSim(3, 1, 2, 2, model.PolicyFull)
+	a, b, c := s.nodes[0], s.nodes[1], s.nodes[2]
+	ids := a.ids(3)
+	a.book(1, ids[0], time.Second)
+	s.run(time.Second)
+	a.v.stopping, a.v.successor = true, "c"
+	b.v.after["a"], c.v.after["a"] = "c", "c"
+	a.tick()
+	s.run(2 * time.Second)
+	a.search(2, callBudget)
+	a.book(3, ids[1], time.Second)
+	s.run(time.Second - time.Millisecond)
+	if a.report.Idle {
+		t.Error("idle before the booking ids were handed over")
+	}
+	a.search(4, callBudget)
+	s.run(time.Second)
+	a.search(5, callBudget)
+	s.run(time.Second)
+	for _, call := range []model.CallID{2, 4} {
+		if x := searchOf(t, s, call); x.Error != nil {
+			t.Errorf("search %d while the balancer still sends: %v", call, x.Error)
+		}
+	}
+	if x := searchOf(t, s, 5); x.Error == nil || x.Error.Kind != model.KindStopping || x.Error.Execution != notRun {
+		t.Errorf("search after the balancer delay: %v", x.Error)
+	}
+	if !a.report.Idle {
+		t.Error("not idle")
+	}
+	a.book(6, ids[2], time.Second)
+	for _, n := range s.nodes {
+		n.v.lost["a"] = true
+	}
+	a.down = true
+	for k, id := range ids {
+		b.book(model.CallID(10+k), id, time.Second)
+		c.book(model.CallID(20+k), id, time.Second)
+	}
+	b.book(13, model.BookingID{Owner: "a", Incarnation: 2, Counter: 1}, time.Second)
+	s.run(time.Second)
+	want := map[model.CallID]model.Execution{
+		1: ran, 3: ran, 6: notRun, 10: ran, 11: ran, 12: notRun, 13: unknown, 20: ran, 21: ran, 22: notRun,
+	}
+	for call, x := range want {
+		if got := bookOf(t, s, call); execution(got) != x || got.Repeat != (call > 9 && x == ran) {
+			t.Errorf("booking %d: %v, repeat %v, want %v", call, execution(got), got.Repeat, x)
+		}
+	}
+	if s.ran[ids[0].String()] != 1 || s.ran[ids[1].String()] != 1 || s.ran[ids[2].String()] != 0 {
+		t.Errorf("ran %v", s.ran)
+	}
+}
+
+// Guards against a successor that says "not run" for ids whose use the owner
+// has forgotten.
+func TestHandoverOfExpiredIDs(t *testing.T) {
+	s := newSim(2, 1, 2, 2, model.PolicyFull)
+	a, b := s.nodes[0], s.nodes[1]
+	forgotten := a.ids(1)[0]
+	s.run(15 * time.Minute)
+	expired := a.ids(2)
+	a.book(1, expired[0], time.Second)
+	s.run(11 * time.Minute)
+	a.ids(1)
+	a.v.stopping, a.v.successor = true, "b"
+	a.tick()
+	s.run(10 * time.Second)
+	for k, id := range []model.BookingID{forgotten, expired[0], expired[1]} {
+		b.v.lost["a"] = true
+		b.book(model.CallID(10+k), id, time.Second)
+	}
+	for call, x := range map[model.CallID]model.Execution{10: unknown, 11: unknown, 12: notRun} {
+		if got := execution(bookOf(t, s, call)); got != x {
+			t.Errorf("booking %d: %v, want %v", call, got, x)
+		}
+	}
+}
--- /dev/null
+++ b/core/query/warm_test.go
@@ -0,0 +1,154 @@
+package query
+
+import (
+	"testing"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/view"
+)
+
+// warmRig is one instance that leads desk-0 alone, with 4 slots.
+func warmRig(level int) (*sim, *simNode, *target) {
+	s := newSim(1, 1, 1, 4, model.PolicyFull)
+	n := s.nodes[0]
+	s.takeOut("desk-1", "desk-2")
+	t := &n.e.targets[n.e.targetIndex["desk-0"]]
+	t.level = level
+	return s, n, t
+}
+
+func (s *sim) replies(n *simNode, count int, r model.TargetReply) {
+	s.onSend = func(n *simNode, o model.SendTarget) bool {
+		s.after(time.Millisecond, func() { s.reply(n, o, r) })
+		return true
+	}
+	for _, id := range n.ids(count) {
+		n.book(model.CallID(len(s.answers)+1), id, time.Second)
+		s.run(2 * time.Millisecond)
+	}
+}
+
+// Guards against a level that rises without completed work, or does not fall
+// on each sign of a cold start (design 3.2).
+func TestWarmLevel(t *testing.T) {
+	ok := func(latency time.Duration, life model.Incarnation) model.TargetReply {
+		return model.TargetReply{Execution: ran, Latency: latency,
+			Answer: model.TargetAnswer{Incarnation: life, Load: model.TargetLoad{InFlight: 1}}}
+	}
+	fail := func(kind model.Kind, reset bool) model.TargetReply {
+		return model.TargetReply{Error: kind, Execution: notRun, Reset: reset}
+	}
+	cases := []struct {
+		name  string
+		start int
+		run   func(s *sim, n *simNode)
+		level int
+	}{
+		{"7 completions", 1, func(s *sim, n *simNode) { s.replies(n, 7, ok(time.Millisecond, 1)) }, 1},
+		{"8 completions", 1, func(s *sim, n *simNode) { s.replies(n, 8, ok(time.Millisecond, 1)) }, 2},
+		{"never above the slots", 1, func(s *sim, n *simNode) { s.replies(n, 60, ok(time.Millisecond, 1)) }, 4},
+		{"failure ends the streak", 1, func(s *sim, n *simNode) {
+			s.replies(n, 7, ok(time.Millisecond, 1))
+			s.replies(n, 1, fail(model.KindTargetAnswer, false))
+			s.replies(n, 7, ok(time.Millisecond, 1))
+		}, 1},
+		{"reset", 4, func(s *sim, n *simNode) { s.replies(n, 1, fail(model.KindTargetConnection, true)) }, 1},
+		{"shed", 4, func(s *sim, n *simNode) { s.replies(n, 1, fail(model.KindTargetShed, false)) }, 2},
+		{"restart in a reply", 4, func(s *sim, n *simNode) { s.replies(n, 1, ok(time.Millisecond, 2)) }, 1},
+		{"answers of an earlier life", 4, func(s *sim, n *simNode) {
+			s.replies(n, 1, ok(time.Millisecond, 2))
+			s.replies(n, 20, ok(time.Millisecond, 1))
+		}, 1},
+		{"restart in a probe", 4, func(_ *sim, n *simNode) {
+			n.step(model.ProbeReply{Target: "desk-0", OK: true, Report: model.TargetReport{Incarnation: 2}})
+		}, 1},
+		{"two slow replies", 4, func(s *sim, n *simNode) {
+			s.replies(n, 2, ok(5*time.Millisecond, 1))
+			s.replies(n, 2, ok(30*time.Millisecond, 1))
+			s.replies(n, 1, ok(5*time.Millisecond, 1))
+		}, 4},
+		{"latency jump", 4, func(s *sim, n *simNode) {
+			s.replies(n, 2, ok(5*time.Millisecond, 1))
+			s.replies(n, 3, ok(30*time.Millisecond, 1))
+		}, 1},
+		{"jump below 20 ms", 4, func(s *sim, n *simNode) {
+			s.replies(n, 2, ok(time.Millisecond, 1))
+			s.replies(n, 3, ok(15*time.Millisecond, 1))
+		}, 4},
+		{"report that lies", 1, func(_ *sim, n *simNode) {
+			for range 20 {
+				n.step(model.ProbeReply{Target: "desk-0", OK: true, Report: model.TargetReport{Incarnation: 1}})
+				n.v.info["desk-0"] = view.TargetInfo{Known: true, Incarnation: 1, Level: 4}
+				n.change("desk-0")
+			}
+		}, 1},
+		{"report that lags", 4, func(s *sim, n *simNode) {
+			s.replies(n, 1, ok(time.Millisecond, 2))
+			n.step(model.ProbeReply{Target: "desk-0", OK: true, Report: model.TargetReport{Incarnation: 1}})
+		}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s, n, target := warmRig(tc.start)
+			tc.run(s, n)
+			if target.level != tc.level {
+				t.Errorf("level %d, want %d", target.level, tc.level)
+			}
+		})
+	}
+}
+
+// Guards against more work at a target than its slots when another instance
+// also acts as its lead (design 3.1).
+func TestForeignWork(t *testing.T) {
+	s, n, target := warmRig(4)
+	s.replies(n, 1, model.TargetReply{Execution: ran, Latency: time.Millisecond,
+		Answer: model.TargetAnswer{Incarnation: 1, Load: model.TargetLoad{InFlight: 4}}})
+	if target.room() != 1 {
+		t.Errorf("room %d beside 3 foreign requests at 4 slots, want 1", target.room())
+	}
+}
+
+// Guards against a lost warm level, a level of another life, and a release
+// that is reported while work is in flight.
+func TestHandoverOfLead(t *testing.T) {
+	s := newSim(2, 1, 1, 4, model.PolicyFull)
+	a, b := s.nodes[0], s.nodes[1]
+	s.takeOut("desk-1", "desk-2")
+	for _, n := range s.nodes {
+		n.v.leads["desk-0"] = "a"
+		n.change("desk-0")
+	}
+	s.targets["desk-0"].service = 50 * time.Millisecond
+	a.book(1, a.ids(1)[0], time.Second)
+	for _, n := range s.nodes {
+		n.v.leads["desk-0"] = "b"
+		n.change("desk-0")
+	}
+	if len(a.drained) != 0 {
+		t.Error("drained with work in flight")
+	}
+	s.run(51 * time.Millisecond)
+	if len(a.drained) != 1 || a.drained[0] != (view.Drained{Target: "desk-0", Incarnation: 1, Level: 4}) {
+		t.Errorf("drained %+v", a.drained)
+	}
+	level := func(r model.ReleasedTarget) int {
+		b.v.leads["desk-0"] = "a"
+		b.change("desk-0")
+		b.v.info["desk-0"] = view.TargetInfo{Known: true, Incarnation: 1}
+		b.v.leads["desk-0"] = "b"
+		b.change("desk-0")
+		b.step(model.PeerInput{From: "a", Incarnation: 1, Message: model.LeadRelease{Targets: []model.ReleasedTarget{r}}})
+		return b.e.targets[b.e.targetIndex["desk-0"]].level
+	}
+	if l := level(model.ReleasedTarget{Target: "desk-0", Incarnation: 1, Level: 3}); l != 3 {
+		t.Errorf("level %d after a release at 3", l)
+	}
+	if l := level(model.ReleasedTarget{Target: "desk-0", Incarnation: 2, Level: 3}); l != 1 {
+		t.Errorf("level %d after a release of another life", l)
+	}
+	if l := level(model.ReleasedTarget{Target: "desk-0", Incarnation: 1, Level: 9}); l != 4 {
+		t.Errorf("level %d after a release above the slots", l)
+	}
+}
