--- /dev/null
+++ b/node/settings/settings.go
@@ -0,0 +1,226 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"galenadyke.dev/core/model"
+)
+
+// Exporter says where spans go.
+type Exporter string
+
+// The span exporters.
+const (
+	ExporterNone   Exporter = "none"
+	ExporterStderr Exporter = "stderr"
+	ExporterFile   Exporter = "file"
+)
+
+// Duration is a time.Duration that is a string with a unit in JSON.
+type Duration time.Duration
+
+// MarshalJSON writes the form of time.Duration.String.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a string with a unit, for example "6ms".
+func (d *Duration) UnmarshalJSON(raw []byte) error {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return fmt.Errorf("a duration is a string with a unit")
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("%q is not a duration", text)
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// Settings are the settings of one daemon. They do not change while it runs.
+type Settings struct {
+	// Instance is the unique id of this instance.
+	Instance string `json:"instance"`
+	// Place is the data centre that the process runs in.
+	Place string `json:"place"`
+	// HTTPListen is the IP address and port for callers.
+	HTTPListen string `json:"http_listen"`
+	// GRPCListen is the IP address and port for other instances, which reach
+	// this instance at exactly this address.
+	GRPCListen string `json:"grpc_listen"`
+	// ConfigURL and ConfigKey locate the published set in the configuration
+	// service.
+	ConfigURL string `json:"config_url"`
+	ConfigKey string `json:"config_key"`
+	// InstancesURL and InstancesService locate the platform's instance list.
+	InstancesURL     string `json:"instances_url"`
+	InstancesService string `json:"instances_service"`
+	// Policy is "full", or the name of a baseline for measurements.
+	Policy model.Policy `json:"policy"`
+	// Seed is the seed of the core's random numbers; 0 takes one from
+	// crypto/rand.
+	Seed uint64 `json:"seed"`
+	// FixedHedgeDelay is used by the policy "fixed-hedge" only.
+	FixedHedgeDelay Duration `json:"fixed_hedge_delay"`
+	// BalancerDelay is the time that a stopping instance goes on serving while
+	// the balancer takes it out.
+	BalancerDelay Duration `json:"balancer_delay"`
+	// StopTimeout bounds a graceful stop.
+	StopTimeout Duration `json:"stop_timeout"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+	// SpanExporter is none, stderr or file; SpanFile is the file.
+	SpanExporter Exporter `json:"span_exporter"`
+	SpanFile     string   `json:"span_file"`
+	// TraceRing is the number of recorded inputs that GET /v1/trace returns.
+	TraceRing int `json:"trace_ring"`
+}
+
+// Defaults returns settings that lack only the identity of the instance.
+func Defaults() Settings {
+	return Settings{
+		HTTPListen:       "127.0.0.1:8080",
+		GRPCListen:       "127.0.0.1:8081",
+		ConfigURL:        "http://127.0.0.1:8500",
+		ConfigKey:        "galenadyke/set",
+		InstancesURL:     "http://127.0.0.1:8500",
+		InstancesService: "galenadyke",
+		Policy:           model.PolicyFull,
+		FixedHedgeDelay:  Duration(10 * time.Millisecond),
+		BalancerDelay:    Duration(3 * time.Second),
+		StopTimeout:      Duration(20 * time.Second),
+		LogLevel:         "info",
+		SpanExporter:     ExporterNone,
+		TraceRing:        4096,
+	}
+}
+
+// Load reads and checks a file. Settings are valid only without findings.
+func Load(path string) (Settings, []Finding) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, []Finding{{
+			Message: err.Error(),
+			Remedy:  "name a readable file; `galenadyked settings` prints one to start from",
+		}}
+	}
+	return Parse(raw)
+}
+
+// Parse reads and checks settings. Fields that are left out keep their
+// defaults.
+func Parse(raw []byte) (Settings, []Finding) {
+	s := Defaults()
+	findings := s.decode(raw)
+	broken := make(map[string]bool, len(findings))
+	for _, f := range findings {
+		broken[f.Field] = true
+	}
+	for _, f := range s.Validate() {
+		if !broken[f.Field] {
+			findings = append(findings, f)
+		}
+	}
+	return s, findings
+}
+
+// JSON returns the settings as an indented document.
+func (s Settings) JSON() []byte {
+	raw, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		panic(err) // cannot fail: the struct has plain fields only
+	}
+	return append(raw, '\n')
+}
+
+// Core returns the configuration of the decision core.
+func (s Settings) Core(incarnation model.Incarnation, seed uint64) model.CoreConfig {
+	return model.CoreConfig{
+		Self:            model.InstanceID(s.Instance),
+		Incarnation:     incarnation,
+		Address:         s.GRPCListen,
+		Place:           model.PlaceID(s.Place),
+		Seed:            seed,
+		Policy:          s.Policy,
+		FixedHedgeDelay: time.Duration(s.FixedHedgeDelay),
+		BalancerDelay:   time.Duration(s.BalancerDelay),
+		StopTimeout:     time.Duration(s.StopTimeout),
+	}
+}
+
+// fields maps the JSON names to the fields.
+func (s *Settings) fields() map[string]any {
+	return map[string]any{
+		"instance": &s.Instance, "place": &s.Place,
+		"http_listen": &s.HTTPListen, "grpc_listen": &s.GRPCListen,
+		"config_url": &s.ConfigURL, "config_key": &s.ConfigKey,
+		"instances_url": &s.InstancesURL, "instances_service": &s.InstancesService,
+		"policy": &s.Policy, "seed": &s.Seed, "fixed_hedge_delay": &s.FixedHedgeDelay,
+		"balancer_delay": &s.BalancerDelay, "stop_timeout": &s.StopTimeout,
+		"log_level": &s.LogLevel, "span_exporter": &s.SpanExporter, "span_file": &s.SpanFile,
+		"trace_ring": &s.TraceRing,
+	}
+}
+
+// decode reads field by field, so that one document gives all findings.
+func (s *Settings) decode(raw []byte) []Finding {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	if open, err := dec.Token(); err != nil || open != json.Delim('{') {
+		return []Finding{notAnObject(err)}
+	}
+	var findings []Finding
+	fields := s.fields()
+	seen := make(map[string]bool, len(fields))
+	for dec.More() {
+		key, err := dec.Token()
+		if err != nil {
+			return append(findings, notAnObject(err))
+		}
+		name, _ := key.(string)
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return append(findings, notAnObject(err))
+		}
+		if f := decodeField(fields, seen, name, value); f != nil {
+			findings = append(findings, *f)
+		}
+	}
+	if _, err := dec.Token(); err != nil {
+		return append(findings, notAnObject(err))
+	}
+	if dec.More() {
+		findings = append(findings, Finding{Message: "data follows the settings", Remedy: "keep one JSON object in the file"})
+	}
+	return findings
+}
+
+func decodeField(fields map[string]any, seen map[string]bool, name string, value json.RawMessage) *Finding {
+	field, known := fields[name]
+	switch {
+	case !known:
+		return &Finding{Field: name, Message: "is not a setting", Remedy: "remove it; `galenadyked settings` prints all settings"}
+	case seen[name]:
+		return &Finding{Field: name, Message: "is given twice", Remedy: "keep one of the two"}
+	}
+	seen[name] = true
+	if string(value) == "null" {
+		return &Finding{Field: name, Message: "is null", Remedy: "give a value, or leave the field out for its default"}
+	}
+	if err := json.Unmarshal(value, field); err != nil {
+		return &Finding{Field: name, Message: err.Error(), Remedy: "use the form that `galenadyked settings` prints"}
+	}
+	return nil
+}
+
+func notAnObject(err error) Finding {
+	message := "the file is not one JSON object"
+	if err != nil {
+		message += ": " + err.Error()
+	}
+	return Finding{Message: message, Remedy: "start from the output of `galenadyked settings`"}
+}
