--- a/node/backend/answer.go
+++ b/node/backend/answer.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 
 	"galenadyke.dev/core/model"
@@ -26,8 +27,11 @@
 	Queued   int `json:"queued"`
 }
 
+// model clamps the figures, because a target may state anything and the
+// protocol between instances refuses numbers out of range.
 func (l loadForm) model() model.TargetLoad {
-	return model.TargetLoad{InFlight: l.InFlight, Queued: l.Queued}
+	clamp := func(n int) int { return min(math.MaxInt32, max(0, n)) }
+	return model.TargetLoad{InFlight: clamp(l.InFlight), Queued: clamp(l.Queued)}
 }
 
 // answerForm is the JSON form of an answer (design 4.1). Pointers tell fields
@@ -136,7 +140,7 @@
 	}
 	for _, v := range form.Versions {
 		partitions := sortedSet(v.Partitions)
-		if v.Total < len(partitions) || v.Total <= 0 {
+		if v.Total < len(partitions) || v.Total <= 0 || v.Total > math.MaxInt32 {
 			return model.TargetReport{}, fmt.Errorf("version %d states %d partitions and a total of %d", v.Version, len(partitions), v.Total)
 		}
 		report.Versions = append(report.Versions, model.VersionReport{
--- a/node/settings/validate.go
+++ b/node/settings/validate.go
@@ -48,13 +48,13 @@
 	c := &checker{}
 	c.name("instance", s.Instance)
 	c.name("place", s.Place)
-	http := c.listen("http_listen", s.HTTPListen)
-	grpc := c.listen("grpc_listen", s.GRPCListen)
+	http := c.listen("http_address", s.HTTPAddress)
+	grpc := c.listen("grpc_address", s.GRPCAddress)
 	if grpc.IsValid() && grpc.Addr().IsUnspecified() {
-		c.add("grpc_listen", "give the address at which other instances reach this one", "%q names no single address", s.GRPCListen)
+		c.add("grpc_address", "give the address at which other instances reach this one", "%q names no single address", s.GRPCAddress)
 	}
 	if http.IsValid() && http == grpc {
-		c.add("grpc_listen", "use another port", "is the same as http_listen")
+		c.add("grpc_address", "use another port", "is the same as http_address")
 	}
 	c.base("config_url", s.ConfigURL)
 	c.notEmpty("config_key", s.ConfigKey)
