Add the daemon: API, telemetry and composition

Cause: callers need an HTTP interface and operators need to see the process. Change: the API on kratos' HTTP transport with refusals before the core, log, metrics with a documented table, spans, the composition with graceful stop, and the commands run, settings and check-settings. Result: builds and vets; not run yet against a core with content.

--- /dev/null
+++ b/node/api/handlers.go
@@ -0,0 +1,203 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/node/telemetry"
+)
+
+// call is one call from its arrival to its answer.
+type call struct {
+	s       *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	name    string
+	id      string // request id
+	arrived time.Time
+}
+
+func (s *Server) arrive(w http.ResponseWriter, r *http.Request, name string) call {
+	return call{s: s, w: w, r: r, name: name, id: requestID(r), arrived: time.Now()}
+}
+
+// refuse answers without asking the core.
+func (c *call) refuse(e *model.Error) { c.s.refuse(c.w, c.id, statusOf(e), e) }
+
+// ask asks the core within the budget, which counts from the arrival.
+func (c *call) ask(budget time.Duration, input func(id model.CallID, left time.Duration, trace string) model.Input) (model.Output, func(model.Kind), error) {
+	trace, endSpan := c.s.cfg.Spans.Call(c.r.Header.Get("Traceparent"), c.name, c.id)
+	c.s.cfg.Metrics.CallStarted()
+	end := func(kind model.Kind) {
+		c.s.cfg.Metrics.CallEnded(c.name, kind, time.Since(c.arrived))
+		endSpan(kind)
+	}
+	left := budget - time.Since(c.arrived)
+	if left <= 0 {
+		return nil, end, refusal(model.KindDeadline, "the deadline passed while the request was read")
+	}
+	out, err := c.s.calls.ask(c.r.Context(), c.s.cfg.Submit, left+answerGrace, func(id model.CallID) model.Input {
+		return input(id, left, trace)
+	})
+	return out, end, err
+}
+
+// fail answers with an error of the core or of ask.
+func (c *call) fail(e *model.Error) { writeError(c.w, c.id, statusOf(e), e) }
+
+func (c *call) succeed(v any) {
+	c.w.Header().Set("X-Request-Id", c.id)
+	writeJSON(c.w, http.StatusOK, v)
+}
+
+// asError turns what ask returns into a typed error.
+func asError(err error) *model.Error {
+	var e *model.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &model.Error{Kind: model.KindDeadline, Execution: model.Unknown, Message: "this instance gave an answer of another kind; report it with the output of GET /v1/trace"}
+}
+
+func kindOf(e *model.Error) model.Kind {
+	if e == nil {
+		return model.KindNone
+	}
+	return e.Kind
+}
+
+func (s *Server) search(w http.ResponseWriter, r *http.Request) {
+	c := s.arrive(w, r, telemetry.CallSearch)
+	var req searchRequest
+	limit := int(s.bodyLimit.Load())
+	if e := readBody(w, r, limit+envelopeBytes, &req); e != nil {
+		c.refuse(e)
+		return
+	}
+	allowed, e := budget(req.DeadlineMs)
+	if e = first(e, needRoute(req.Route), needValue("query", req.Query, limit)); e != nil {
+		c.refuse(e)
+		return
+	}
+	c.runSearch(req, allowed)
+}
+
+func (c *call) runSearch(req searchRequest, budget time.Duration) {
+	out, end, err := c.ask(budget, func(id model.CallID, left time.Duration, trace string) model.Input {
+		return model.SearchCall{Call: id, RequestID: c.id, Route: model.RouteID(req.Route), Budget: left, Body: req.Query, Trace: trace}
+	})
+	answer, ok := out.(model.SearchAnswer)
+	if err == nil && ok {
+		c.s.cfg.Metrics.SearchAnswered(&answer)
+		if answer.Error == nil {
+			c.succeed(searchForm(c.id, answer, time.Since(c.arrived)))
+			end(model.KindNone)
+			return
+		}
+		err = answer.Error
+	}
+	e := asError(err)
+	c.fail(e)
+	end(e.Kind)
+}
+
+func (s *Server) book(w http.ResponseWriter, r *http.Request) {
+	c := s.arrive(w, r, telemetry.CallBook)
+	var req bookRequest
+	limit := int(s.bodyLimit.Load())
+	if e := readBody(w, r, limit+envelopeBytes, &req); e != nil {
+		c.refuse(e)
+		return
+	}
+	allowed, e := budget(req.DeadlineMs)
+	id, err := model.ParseBookingID(req.BookingID)
+	var badID *model.Error
+	if err != nil {
+		badID = asError(err)
+	}
+	if e = first(e, needRoute(req.Route), badID, needValue("booking", req.Booking, limit)); e != nil {
+		c.refuse(e)
+		return
+	}
+	c.runBook(req, id, allowed)
+}
+
+func (c *call) runBook(req bookRequest, booking model.BookingID, budget time.Duration) {
+	out, end, err := c.ask(budget, func(id model.CallID, left time.Duration, trace string) model.Input {
+		return model.BookCall{Call: id, RequestID: c.id, Booking: booking, Route: model.RouteID(req.Route), Budget: left, Body: req.Booking, Trace: trace}
+	})
+	answer, ok := out.(model.BookAnswer)
+	if err == nil && ok && answer.Error == nil {
+		c.succeed(bookResponse{RequestID: c.id, BookingID: req.BookingID, Execution: model.Ran.String(), Target: answer.Target,
+			Repeat: answer.Repeat, Result: json.RawMessage(answer.Body), ElapsedMs: milliseconds(time.Since(c.arrived))})
+		end(model.KindNone)
+		return
+	}
+	if err == nil && ok {
+		err = answer.Error
+	}
+	e := asError(err)
+	c.fail(e)
+	end(e.Kind)
+}
+
+func (s *Server) bookingIDs(w http.ResponseWriter, r *http.Request) {
+	c := s.arrive(w, r, telemetry.CallBookingIDs)
+	var req bookingIDsRequest
+	if e := readBody(w, r, envelopeBytes, &req); e != nil {
+		c.refuse(e)
+		return
+	}
+	if req.Count == nil || *req.Count < 1 || *req.Count > maxBookingIDs {
+		c.refuse(refusal(model.KindBadRequest, "count must be 1 to 1000"))
+		return
+	}
+	out, end, err := c.ask(statusTimeout, func(id model.CallID, _ time.Duration, _ string) model.Input {
+		return model.IssueBookingIDs{Call: id, Count: *req.Count}
+	})
+	answer, ok := out.(model.BookingIDs)
+	if err == nil && ok && answer.Error == nil {
+		ids := make([]string, len(answer.IDs))
+		for i, id := range answer.IDs {
+			ids[i] = id.String()
+		}
+		c.succeed(bookingIDsResponse{BookingIDs: ids, ValidMs: answer.Valid.Milliseconds()})
+		end(model.KindNone)
+		return
+	}
+	if err == nil && ok {
+		err = answer.Error
+	}
+	e := asError(err)
+	c.fail(e)
+	end(e.Kind)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	c := s.arrive(w, r, telemetry.CallStatus)
+	out, end, err := c.ask(statusTimeout, func(id model.CallID, _ time.Duration, _ string) model.Input {
+		return model.StatusCall{Call: id}
+	})
+	answer, ok := out.(model.Status)
+	if err != nil || !ok {
+		e := asError(err)
+		c.fail(e)
+		end(e.Kind)
+		return
+	}
+	c.succeed(statusForm(s.cfg.Core, answer))
+	end(model.KindNone)
+}
+
+// first returns the first error.
+func first(errs ...*model.Error) *model.Error {
+	for _, e := range errs {
+		if e != nil {
+			return e
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/api/server.go
@@ -0,0 +1,190 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/objects"
+	"galenadyke.dev/node/telemetry"
+)
+
+// readHeaderTimeout and idleTimeout bound connections that send nothing.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+)
+
+// Config configures a Server. All fields are required.
+type Config struct {
+	Core   model.CoreConfig
+	Submit func(model.Input) bool
+	// DumpTrace writes the recorded inputs.
+	DumpTrace func(io.Writer) error
+	Metrics   *telemetry.Metrics
+	Spans     *telemetry.Spans
+}
+
+// Server serves HTTP. Act and Apply are called by the loop and never block.
+type Server struct {
+	cfg   Config
+	http  *khttp.Server
+	calls *calls
+	ready atomic.Pointer[model.Ready]
+	// bodyLimit is max_body_bytes of the set in force.
+	bodyLimit atomic.Int64
+}
+
+// New returns a server for the listener.
+func New(cfg Config, l net.Listener) *Server {
+	s := &Server{cfg: cfg, calls: newCalls()}
+	s.ready.Store(&model.Ready{Reason: "the instance has just started"})
+	s.bodyLimit.Store(int64(objects.DefaultLimits().MaxBodyBytes))
+	s.http = khttp.NewServer(
+		khttp.Listener(l),
+		khttp.Timeout(0), // each call has its own deadline
+		khttp.NotFoundHandler(http.HandlerFunc(s.notFound)),
+		khttp.MethodNotAllowedHandler(http.HandlerFunc(s.wrongMethod)),
+	)
+	s.http.ReadHeaderTimeout = readHeaderTimeout
+	s.http.IdleTimeout = idleTimeout
+	s.http.MaxHeaderBytes = maxHeaderBytes
+	s.routes()
+	return s
+}
+
+func (s *Server) routes() {
+	r := s.http.Route("/")
+	post := func(path string, h http.HandlerFunc) { r.POST(path, handle(h)) }
+	get := func(path string, h http.HandlerFunc) { r.GET(path, handle(h)) }
+	post("/v1/search", s.search)
+	post("/v1/book", s.book)
+	post("/v1/booking-ids", s.bookingIDs)
+	get("/healthz", s.healthz)
+	get("/readyz", s.readyz)
+	get("/v1/status", s.status)
+	get("/v1/trace", s.trace)
+	get("/v1/metrics-help", s.metricsHelp)
+	get("/debug/vars", s.vars)
+}
+
+// handle adapts a handler. It passes the plain ResponseWriter, because the one
+// of kratos defers the status code.
+func handle(h http.HandlerFunc) khttp.HandlerFunc {
+	return func(ctx khttp.Context) error {
+		w := ctx.Response()
+		if u, ok := w.(interface{ Unwrap() http.ResponseWriter }); ok {
+			w = u.Unwrap()
+		}
+		h(w, ctx.Request())
+		return nil
+	}
+}
+
+// ServeHTTP serves one request, for tests.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.http.ServeHTTP(w, r) }
+
+// Start serves until Stop. It returns nil after Stop.
+func (s *Server) Start() error { return s.http.Start(context.Background()) }
+
+// Stop ends the server when the calls in progress have been answered, or when
+// the context ends.
+func (s *Server) Stop(ctx context.Context) error { return s.http.Stop(ctx) }
+
+// Act carries out the outputs that answer calls, and Ready. It reports false
+// for other outputs.
+func (s *Server) Act(out model.Output) bool {
+	switch out := out.(type) {
+	case model.SearchAnswer:
+		s.calls.deliver(out.Call, out)
+	case model.BookAnswer:
+		s.calls.deliver(out.Call, out)
+	case model.BookingIDs:
+		s.calls.deliver(out.Call, out)
+	case model.Status:
+		s.calls.deliver(out.Call, out)
+	case model.Ready:
+		s.ready.Store(&out)
+		s.cfg.Metrics.SetReady(out.Ready)
+	default:
+		return false
+	}
+	return true
+}
+
+// Apply takes over the limits of the set in force.
+func (s *Server) Apply(set *objects.Set) { s.bodyLimit.Store(int64(set.Limits.MaxBodyBytes)) }
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, requestID(r), http.StatusNotFound, refusal(model.KindBadRequest, "no such path: "+r.URL.Path+"; docs/api.md lists the paths"))
+}
+
+func (s *Server) wrongMethod(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, requestID(r), http.StatusMethodNotAllowed, refusal(model.KindBadRequest, "the path does not take "+r.Method+"; docs/api.md lists the methods"))
+}
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	ready := s.ready.Load()
+	status := http.StatusOK
+	if !ready.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, readyResponse{Ready: ready.Ready, Reason: ready.Reason})
+}
+
+func (s *Server) trace(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	// A failed write means that the reader has gone.
+	_ = s.cfg.DumpTrace(w)
+}
+
+func (s *Server) metricsHelp(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, telemetry.MetricTable())
+}
+
+func (s *Server) vars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(s.cfg.Metrics.Vars())
+}
+
+// refuse answers a call that did not reach the core.
+func (s *Server) refuse(w http.ResponseWriter, requestID string, status int, e *model.Error) {
+	s.cfg.Metrics.CallRefused(e.Kind)
+	writeError(w, requestID, status, e)
+}
+
+func writeError(w http.ResponseWriter, requestID string, status int, e *model.Error) {
+	w.Header().Set("X-Request-Id", requestID)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	writeJSON(w, status, errorResponse{RequestID: requestID, Error: errorBody{
+		ID: e.Kind.ID(), Kind: e.Kind.String(), Execution: e.Execution.String(), Message: e.Message,
+	}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		// Only a result that is not JSON fails here, and targets' answers are
+		// checked where they arrive.
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(raw, '\n')) // a failed write means that the caller has gone
+}
--- /dev/null
+++ b/node/cmd/galenadyked/commands.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"galenadyke.dev/node/daemon"
+	"galenadyke.dev/node/settings"
+)
+
+// load reads settings and prints all findings.
+func load(path string) (settings.Settings, bool) {
+	s, findings := settings.Load(path)
+	for _, f := range findings {
+		fmt.Fprintln(os.Stderr, f)
+	}
+	return s, len(findings) == 0
+}
+
+// runCommand implements "run".
+type runCommand struct{ path string }
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run an instance" }
+func (*runCommand) Usage() string {
+	return "run --settings FILE\n  SIGTERM stops it gracefully, a second signal at once.\n"
+}
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "settings file")
+}
+
+func (c *runCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.path == "" && f.NArg() == 1 {
+		c.path = f.Arg(0)
+	}
+	if c.path == "" {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	s, ok := load(c.path)
+	if !ok {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitStatus(daemon.Run(s))
+}
+
+// settingsCommand implements "settings".
+type settingsCommand struct{}
+
+func (*settingsCommand) Name() string           { return "settings" }
+func (*settingsCommand) Synopsis() string       { return "print the default settings" }
+func (*settingsCommand) Usage() string          { return "settings\n" }
+func (*settingsCommand) SetFlags(*flag.FlagSet) {}
+
+func (*settingsCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if _, err := os.Stdout.Write(settings.Defaults().JSON()); err != nil {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// checkCommand implements "check-settings".
+type checkCommand struct{}
+
+func (*checkCommand) Name() string           { return "check-settings" }
+func (*checkCommand) Synopsis() string       { return "check a settings file" }
+func (*checkCommand) Usage() string          { return "check-settings FILE\n  Prints every finding.\n" }
+func (*checkCommand) SetFlags(*flag.FlagSet) {}
+
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	if _, ok := load(f.Arg(0)); !ok {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -48,11 +48,11 @@
 	Instance string `json:"instance"`
 	// Place is the data centre that the process runs in.
 	Place string `json:"place"`
-	// HTTPAddress is the IP address and port for callers.
-	HTTPAddress string `json:"http_address"`
-	// GRPCAddress is the IP address and port for other instances, which reach
+	// HTTPListen is the IP address and port for callers.
+	HTTPListen string `json:"http_listen"`
+	// GRPCListen is the IP address and port for other instances, which reach
 	// this instance at exactly this address.
-	GRPCAddress string `json:"grpc_address"`
+	GRPCListen string `json:"grpc_listen"`
 	// ConfigURL and ConfigKey locate the published set in the configuration
 	// service.
 	ConfigURL string `json:"config_url"`
@@ -84,8 +84,8 @@
 // Defaults returns settings that lack only the identity of the instance.
 func Defaults() Settings {
 	return Settings{
-		HTTPAddress:      "127.0.0.1:8080",
-		GRPCAddress:      "127.0.0.1:8081",
+		HTTPListen:       "127.0.0.1:8080",
+		GRPCListen:       "127.0.0.1:8081",
 		ConfigURL:        "http://127.0.0.1:8500",
 		ConfigKey:        "galenadyke/set",
 		InstancesURL:     "http://127.0.0.1:8500",
@@ -143,7 +143,7 @@
 	return model.CoreConfig{
 		Self:            model.InstanceID(s.Instance),
 		Incarnation:     incarnation,
-		Address:         s.GRPCAddress,
+		Address:         s.GRPCListen,
 		Place:           model.PlaceID(s.Place),
 		Seed:            seed,
 		Policy:          s.Policy,
@@ -157,7 +157,7 @@
 func (s *Settings) fields() map[string]any {
 	return map[string]any{
 		"instance": &s.Instance, "place": &s.Place,
-		"http_address": &s.HTTPAddress, "grpc_address": &s.GRPCAddress,
+		"http_listen": &s.HTTPListen, "grpc_listen": &s.GRPCListen,
 		"config_url": &s.ConfigURL, "config_key": &s.ConfigKey,
 		"instances_url": &s.InstancesURL, "instances_service": &s.InstancesService,
 		"policy": &s.Policy, "seed": &s.Seed, "fixed_hedge_delay": &s.FixedHedgeDelay,
--- a/node/settings/validate.go
+++ b/node/settings/validate.go
@@ -48,13 +48,13 @@
 	c := &checker{}
 	c.name("instance", s.Instance)
 	c.name("place", s.Place)
-	http := c.listen("http_address", s.HTTPAddress)
-	grpc := c.listen("grpc_address", s.GRPCAddress)
+	http := c.listen("http_listen", s.HTTPListen)
+	grpc := c.listen("grpc_listen", s.GRPCListen)
 	if grpc.IsValid() && grpc.Addr().IsUnspecified() {
-		c.add("grpc_address", "give the address at which other instances reach this one", "%q names no single address", s.GRPCAddress)
+		c.add("grpc_listen", "give the address at which other instances reach this one", "%q names no single address", s.GRPCListen)
 	}
 	if http.IsValid() && http == grpc {
-		c.add("grpc_address", "use another port", "is the same as http_address")
+		c.add("grpc_listen", "use another port", "is the same as http_listen")
 	}
 	c.base("config_url", s.ConfigURL)
 	c.notEmpty("config_key", s.ConfigKey)
@@ -62,7 +62,10 @@
 	c.notEmpty("instances_service", s.InstancesService)
 	c.oneOf("policy", string(s.Policy), string(model.PolicyFull), string(model.PolicyNaive),
 		string(model.PolicyFixedHedge), string(model.PolicyNoSharing))
-	c.duration("fixed_hedge_delay", s.FixedHedgeDelay, time.Microsecond)
+	c.duration("fixed_hedge_delay", s.FixedHedgeDelay, 0)
+	if s.Policy == model.PolicyFixedHedge && s.FixedHedgeDelay == 0 {
+		c.add("fixed_hedge_delay", "give the delay of the baseline, for example 10ms", "is 0 with the policy %q", s.Policy)
+	}
 	c.duration("balancer_delay", s.BalancerDelay, 0)
 	c.duration("stop_timeout", s.StopTimeout, time.Millisecond)
 	if s.StopTimeout <= s.BalancerDelay {
