--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -56,7 +56,7 @@
 			Target: string(m.Target), Body: m.Body, Repeat: m.Repeat}}}, nil
 	case model.BookingHandover:
 		return &peerpb.Frame{Message: &peerpb.Frame_BookingHandover{BookingHandover: &peerpb.BookingHandover{
-			Owner: string(m.Owner), Incarnation: uint64(m.Incarnation), Issued: m.Issued,
+			Owner: string(m.Owner), Incarnation: uint64(m.Incarnation), First: m.First, Issued: m.Issued,
 			Outcomes: mapSlice(m.Outcomes, encodeRecord)}}}, nil
 	default:
 		return nil, fmt.Errorf("no frame for %T; add it to peer.proto", message)
@@ -119,7 +119,7 @@
 	case *peerpb.Frame_BookingHandover:
 		h := m.BookingHandover
 		return model.BookingHandover{Owner: model.InstanceID(h.GetOwner()), Incarnation: model.Incarnation(h.GetIncarnation()),
-			Issued: h.GetIssued(), Outcomes: mapSlice(h.GetOutcomes(), d.record)}
+			First: h.GetFirst(), Issued: h.GetIssued(), Outcomes: mapSlice(h.GetOutcomes(), d.record)}
 	default:
 		return nil
 	}
