Add the stand-ins for targets and platform

The daemon needs targets and a platform to run against, with faults that a test can set. testbed/target serves many targets in one process by the HTTP protocol of the design, with slots, an inner queue, a cold start, link and connection delays, index versions and a control endpoint. testbed/platform serves the KV reads and the service list by Consul's published API, on several endpoints whose faults differ.

--- /dev/null
+++ b/testbed/cmd/testbed-platform/main.go
@@ -0,0 +1,45 @@
+// Command testbed-platform serves the stand-in for the configuration service
+// and the instance list. It prints the addresses as one line of JSON and ends
+// on SIGTERM.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"galenadyke.dev/testbed/platform"
+)
+
+func main() {
+	control := flag.String("control", "127.0.0.1:0", "address of the control endpoint")
+	listen := flag.String("listen", "127.0.0.1:0", "addresses of the endpoints, separated by commas")
+	flag.Parse()
+	if err := run(platform.Config{Control: *control, Listen: strings.Split(*listen, ",")}); err != nil {
+		fmt.Fprintln(os.Stderr, "testbed-platform:", err)
+		os.Exit(1)
+	}
+}
+
+func run(cfg platform.Config) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s, err := platform.Start(cfg)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(s.Started()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	ending, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s.Shutdown(ending)
+	return nil
+}
--- /dev/null
+++ b/testbed/cmd/testbed-target/main.go
@@ -0,0 +1,50 @@
+// Command testbed-target serves stand-ins for targets. It prints the addresses
+// as one line of JSON and ends on SIGTERM.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"galenadyke.dev/testbed/target"
+)
+
+func main() {
+	path := flag.String("config", "", "settings file (JSON)")
+	flag.Parse()
+	if err := run(*path); err != nil {
+		fmt.Fprintln(os.Stderr, "testbed-target:", err)
+		os.Exit(1)
+	}
+}
+
+func run(path string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	cfg, err := target.Parse(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	s, err := target.Start(cfg)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(s.Started()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	ending, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	s.Shutdown(ending)
+	return nil
+}
--- /dev/null
+++ b/testbed/platform/server.go
@@ -0,0 +1,149 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// maxPublishBytes bounds a published value. It is above Consul's limit on
+// purpose, so that a test can publish a value that is too large.
+const maxPublishBytes = 4 << 20
+
+// Server is one process of the platform.
+type Server struct {
+	store     *store
+	endpoints []*endpoint
+	servers   []*http.Server
+	started   Started
+}
+
+// FaultsRequest sets the faults of some endpoints, all if the list is empty.
+type FaultsRequest struct {
+	Endpoints []int  `json:"endpoints,omitempty"`
+	Faults    Faults `json:"faults"`
+}
+
+// AllCounts holds the counts of each endpoint.
+type AllCounts struct {
+	Endpoints []Counts `json:"endpoints"`
+}
+
+// Start listens on all addresses and serves.
+func Start(cfg Config) (*Server, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	s := &Server{store: newStore()}
+	for _, address := range cfg.Listen {
+		e := newEndpoint(s.store)
+		s.endpoints = append(s.endpoints, e)
+		actual, err := s.serve(address, e.handler())
+		if err != nil {
+			s.Close()
+			return nil, fmt.Errorf("endpoint %s: %w", address, err)
+		}
+		s.started.Endpoints = append(s.started.Endpoints, actual)
+	}
+	actual, err := s.serve(cfg.Control, s.control())
+	if err != nil {
+		s.Close()
+		return nil, fmt.Errorf("control endpoint: %w", err)
+	}
+	s.started.Control = actual
+	return s, nil
+}
+
+func (s *Server) serve(address string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	s.servers = append(s.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			panic(err) // a stand-in that serves in part would mislead a test
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+// control serves the control endpoint.
+func (s *Server) control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/publish/{key...}", func(w http.ResponseWriter, r *http.Request) {
+		value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPublishBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.store.put(r.PathValue("key"), value)
+	})
+	mux.HandleFunc("PUT /v1/instances/{name}", func(w http.ResponseWriter, r *http.Request) {
+		var list []Instance
+		if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		value, err := json.Marshal(list)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		s.store.put(servicePrefix+r.PathValue("name"), value)
+	})
+	mux.HandleFunc("PUT /v1/faults", s.serveFaults)
+	mux.HandleFunc("GET /v1/counts", func(w http.ResponseWriter, _ *http.Request) {
+		var all AllCounts
+		for _, e := range s.endpoints {
+			e.count(func(c *Counts) { all.Endpoints = append(all.Endpoints, *c) })
+		}
+		writeJSON(w, all)
+	})
+	return mux
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var req FaultsRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(req.Endpoints) == 0 {
+		for i := range s.endpoints {
+			req.Endpoints = append(req.Endpoints, i)
+		}
+	}
+	for _, i := range req.Endpoints {
+		if i < 0 || i >= len(s.endpoints) {
+			http.Error(w, fmt.Sprintf("no endpoint %d", i), http.StatusNotFound)
+			return
+		}
+		s.endpoints[i].setFaults(req.Faults)
+	}
+}
+
+// Started returns the addresses that the process listens on.
+func (s *Server) Started() Started { return s.started }
+
+// Shutdown waits for reads in progress, until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) {
+	for _, server := range s.servers {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+// Close ends all servers at once.
+func (s *Server) Close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/testbed/target/load.go
@@ -0,0 +1,35 @@
+package target
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+)
+
+// Parse reads the settings of a process. Fields that a target leaves out take
+// the values of DefaultTarget; unknown fields are refused.
+func Parse(data []byte) (Config, error) {
+	var raw struct {
+		Control string            `json:"control"`
+		Targets []json.RawMessage `json:"targets"`
+	}
+	raw.Control = "127.0.0.1:0"
+	if err := decode(data, &raw); err != nil {
+		return Config{}, err
+	}
+	cfg := Config{Control: raw.Control}
+	for i, one := range raw.Targets {
+		t := DefaultTarget()
+		if err := decode(one, &t); err != nil {
+			return Config{}, fmt.Errorf("target %d: %w", i, err)
+		}
+		cfg.Targets = append(cfg.Targets, t)
+	}
+	return cfg, cfg.Validate()
+}
+
+func decode(data []byte, to any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	return d.Decode(to)
+}
