Rename the settings types of the target stand-in

The linter refuses target.TargetConfig, which repeats the package's name. The settings of one target are Config, those of a process ProcessConfig.

--- a/testbed/target/config.go
+++ b/testbed/target/config.go
@@ -9,16 +9,16 @@
 	"galenadyke.dev/testbed/units"
 )
 
-// Config configures one process of targets.
-type Config struct {
+// ProcessConfig configures one process of targets.
+type ProcessConfig struct {
 	// Control is the address of the control endpoint. Port 0 asks the kernel
 	// for a free port.
-	Control string         `json:"control"`
-	Targets []TargetConfig `json:"targets"`
+	Control string   `json:"control"`
+	Targets []Config `json:"targets"`
 }
 
-// TargetConfig configures one target.
-type TargetConfig struct {
+// Config configures one target.
+type Config struct {
 	Name string `json:"name"`
 	// Address is an IP address and port; port 0 asks the kernel for one.
 	Address string `json:"address"`
@@ -99,8 +99,8 @@
 }
 
 // DefaultTarget returns the settings that a file's target starts from.
-func DefaultTarget() TargetConfig {
-	return TargetConfig{
+func DefaultTarget() Config {
+	return Config{
 		Address:    "127.0.0.1:0",
 		Slots:      2,
 		QueueLimit: 16,
@@ -115,7 +115,7 @@
 }
 
 // Validate reports the first setting that cannot be used.
-func (c *Config) Validate() error {
+func (c *ProcessConfig) Validate() error {
 	if len(c.Targets) == 0 {
 		return errors.New("targets is empty; list at least one")
 	}
@@ -134,7 +134,7 @@
 }
 
 // Validate reports the first setting that cannot be used.
-func (c *TargetConfig) Validate() error {
+func (c *Config) Validate() error {
 	if c.Name == "" {
 		return errors.New("name is empty")
 	}
--- a/testbed/target/load.go
+++ b/testbed/target/load.go
@@ -8,20 +8,20 @@
 
 // Parse reads the settings of a process. Fields that a target leaves out take
 // the values of DefaultTarget; unknown fields are refused.
-func Parse(data []byte) (Config, error) {
+func Parse(data []byte) (ProcessConfig, error) {
 	var raw struct {
 		Control string            `json:"control"`
 		Targets []json.RawMessage `json:"targets"`
 	}
 	raw.Control = "127.0.0.1:0"
 	if err := decode(data, &raw); err != nil {
-		return Config{}, err
+		return ProcessConfig{}, err
 	}
-	cfg := Config{Control: raw.Control}
+	cfg := ProcessConfig{Control: raw.Control}
 	for i, one := range raw.Targets {
 		t := DefaultTarget()
 		if err := decode(one, &t); err != nil {
-			return Config{}, fmt.Errorf("target %d: %w", i, err)
+			return ProcessConfig{}, fmt.Errorf("target %d: %w", i, err)
 		}
 		cfg.Targets = append(cfg.Targets, t)
 	}
--- a/testbed/target/server.go
+++ b/testbed/target/server.go
@@ -24,7 +24,7 @@
 }
 
 // Start listens on all addresses and serves.
-func Start(cfg Config) (*Server, error) {
+func Start(cfg ProcessConfig) (*Server, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
--- a/testbed/target/target.go
+++ b/testbed/target/target.go
@@ -16,7 +16,7 @@
 	conn *connections
 
 	mu      sync.Mutex
-	cfg     TargetConfig
+	cfg     Config
 	rng     *rand.Rand
 	life    *life
 	running int
@@ -42,7 +42,7 @@
 	ended       chan struct{}
 }
 
-func newTarget(cfg TargetConfig, conn *connections) *target {
+func newTarget(cfg Config, conn *connections) *target {
 	t := &target{
 		name:     cfg.Name,
 		conn:     conn,
--- a/testbed/target/target_test.go
+++ b/testbed/target/target_test.go
@@ -14,7 +14,7 @@
 	"galenadyke.dev/testbed/units"
 )
 
-func start(t *testing.T, edit func(*TargetConfig)) *Server {
+func start(t *testing.T, edit func(*Config)) *Server {
 	t.Helper()
 	tc := DefaultTarget()
 	tc.Name = "a"
@@ -22,7 +22,7 @@
 	tc.Cold.Warm = true
 	tc.Versions = []Version{{Version: 7, Total: 4, Partitions: []uint32{1, 2}}}
 	edit(&tc)
-	s, err := Start(Config{Control: "127.0.0.1:0", Targets: []TargetConfig{tc}})
+	s, err := Start(ProcessConfig{Control: "127.0.0.1:0", Targets: []Config{tc}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +66,7 @@
 // Guards against a stand-in that runs more than its slots, or that does not
 // say that a shed request did not run.
 func TestSlotsQueueAndShed(t *testing.T) {
-	s := start(t, func(c *TargetConfig) { c.QueueLimit = 3 })
+	s := start(t, func(c *Config) { c.QueueLimit = 3 })
 	got := together(s, 8)
 	c := s.Counts().Targets[0]
 	if got[200] != 5 || got[503] != 3 || c.Sheds != 3 || c.MaxAtOnce != 5 {
@@ -77,7 +77,7 @@
 // Guards against a cold target that bears full load, or that fails over
 // without a new incarnation.
 func TestColdTargetFailsOver(t *testing.T) {
-	s := start(t, func(c *TargetConfig) { c.Cold.Warm, c.Cold.OverloadLimit = false, 2 })
+	s := start(t, func(c *Config) { c.Cold.Warm, c.Cold.OverloadLimit = false, 2 })
 	got := together(s, 3)
 	c := s.Counts().Targets[0]
 	if got[200] != 0 || c.FailOvers != 1 || c.Incarnation != 2 || c.Overloads != 2 {
@@ -87,7 +87,7 @@
 
 // Guards against a cold target that never becomes warm.
 func TestColdTargetBecomesWarm(t *testing.T) {
-	s := start(t, func(c *TargetConfig) { c.Cold.Warm, c.Cold.Completions = false, 2 })
+	s := start(t, func(c *Config) { c.Cold.Warm, c.Cold.Completions = false, 2 })
 	for range 2 {
 		send(context.Background(), s, "/v1/search")
 	}
@@ -98,7 +98,7 @@
 
 // Guards against a cancelled request that keeps its slot.
 func TestCancellationFreesSlot(t *testing.T) {
-	s := start(t, func(c *TargetConfig) { c.Slots, c.Service.Mean = 1, units.Duration(time.Minute) })
+	s := start(t, func(c *Config) { c.Slots, c.Service.Mean = 1, units.Duration(time.Minute) })
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 	defer cancel()
 	send(ctx, s, "/v1/search")
@@ -108,7 +108,7 @@
 // Guards against answers that hide a lost booking, a deadline, a version that
 // is not held, or a truncation.
 func TestAnswersAreTruthful(t *testing.T) {
-	s := start(t, func(*TargetConfig) {})
+	s := start(t, func(*Config) {})
 	yes, one := true, 1
 	if status, body := send(t.Context(), s, "/v1/search", "X-Snapshot", "8"); status != 409 {
 		t.Errorf("unknown version: %d %s, want 409", status, body)
@@ -138,7 +138,7 @@
 
 // Guards against a freeze or a loss of the target that callers do not see.
 func TestFreezeAndDown(t *testing.T) {
-	s := start(t, func(*TargetConfig) {})
+	s := start(t, func(*Config) {})
 	yes, no := true, false
 	s.targets[0].change(Change{Freeze: &yes})
 	ctx, cancel := context.WithTimeout(t.Context(), 40*time.Millisecond)
