Let a run of the load generator use another caller

The measurements compare the tier with a bare fan-out client under the same arrivals. RunFunc runs the schedule with searches that the caller makes.

go test ./ctl/... passes.

--- a/ctl/load/client.go
+++ b/ctl/load/client.go
@@ -20,16 +20,19 @@
 
 // client sends calls.
 type client struct {
-	http *http.Client
-	cfg  Config
+	http   *http.Client
+	cfg    Config
+	search SearchFunc
 }
 
 func newClient(c Config) *client {
-	return &client{cfg: c, http: &http.Client{
+	out := &client{cfg: c, http: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: c.MaxInFlight},
 		// A redirect could run a booking twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
+	out.search = out.searchEntry
+	return out
 }
 
 type searchRequest struct {
@@ -51,45 +54,48 @@
 
 type idsAnswer struct {
 	BookingIDs []string   `json:"booking_ids"`
-	Error      *callError `json:"error"`
+	Error      *CallError `json:"error"`
 }
 
-type callError struct {
+// CallError is an error of the tier.
+type CallError struct {
 	ID        string `json:"id"`
 	Kind      string `json:"kind"`
 	Execution string `json:"execution"`
 }
 
-// answer has the fields of search and booking answers that a run looks at.
-type answer struct {
-	Coverage  coverageForm `json:"coverage"`
-	Stats     statsForm    `json:"stats"`
-	Execution string       `json:"execution"`
-	Error     *callError   `json:"error"`
+// Answer has the fields of search and booking answers that a run looks at.
+type Answer struct {
+	Coverage  Coverage   `json:"coverage"`
+	Stats     Stats      `json:"stats"`
+	Execution string     `json:"execution"`
+	Error     *CallError `json:"error"`
 }
 
-type coverageForm struct {
+// Coverage counts partitions of the answered snapshot.
+type Coverage struct {
 	Searched int `json:"searched"`
 	Total    int `json:"total"`
 }
 
-type statsForm struct {
+// Stats counts what a search cost.
+type Stats struct {
 	SubRequests int `json:"sub_requests"`
 	Hedges      int `json:"hedges"`
 	Retries     int `json:"retries"`
 	Restarts    int `json:"restarts"`
 }
 
-func (c *client) search(ctx context.Context, entry string) (answer, error) {
-	var a answer
-	err := c.post(ctx, entry+"/v1/search", searchRequest{
+func (c *client) searchEntry(ctx context.Context, to Arrival) (Answer, error) {
+	var a Answer
+	err := c.post(ctx, c.cfg.Entries[to.Entry]+"/v1/search", searchRequest{
 		Route: c.cfg.Route, Query: json.RawMessage(c.cfg.Query), DeadlineMs: c.cfg.Deadline.Milliseconds(),
 	}, &a)
 	return a, err
 }
 
-func (c *client) book(ctx context.Context, entry, id string) (answer, error) {
-	var a answer
+func (c *client) book(ctx context.Context, entry, id string) (Answer, error) {
+	var a Answer
 	err := c.post(ctx, entry+"/v1/book", bookRequest{
 		Route: c.cfg.BookingRoute, BookingID: id,
 		Booking: json.RawMessage(c.cfg.Query), DeadlineMs: c.cfg.Deadline.Milliseconds(),
--- a/ctl/load/record.go
+++ b/ctl/load/record.go
@@ -69,10 +69,10 @@
 	return r
 }
 
-func (r *recorder) second(a arrival) *secondRecord { return &r.seconds[a.at/time.Second] }
+func (r *recorder) second(a Arrival) *secondRecord { return &r.seconds[a.At/time.Second] }
 
 // drop counts a call that was not sent.
-func (r *recorder) drop(a arrival) {
+func (r *recorder) drop(a Arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.res.Dropped++
@@ -80,7 +80,7 @@
 }
 
 // searched counts the end of a search.
-func (r *recorder) searched(a arrival, took time.Duration, got answer, err error) {
+func (r *recorder) searched(a Arrival, took time.Duration, got Answer, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.second(a)
@@ -112,7 +112,7 @@
 }
 
 // isError counts a refusal or a failure.
-func (r *recorder) isError(s *secondRecord, took time.Duration, refused *callError, err error) bool {
+func (r *recorder) isError(s *secondRecord, took time.Duration, refused *CallError, err error) bool {
 	switch {
 	case err != nil:
 		r.res.Failed++
@@ -130,7 +130,7 @@
 }
 
 // booked counts the end of a booking.
-func (r *recorder) booked(a arrival, id string, took time.Duration, got answer, err error) {
+func (r *recorder) booked(a Arrival, id string, took time.Duration, got Answer, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.second(a)
--- a/ctl/load/run.go
+++ b/ctl/load/run.go
@@ -15,12 +15,30 @@
 	}
 	c := newClient(cfg)
 	defer c.http.CloseIdleConnections()
-	plan := schedule(cfg)
+	return c.run(ctx)
+}
+
+// SearchFunc makes one search. It stands in for a call to an instance.
+type SearchFunc func(context.Context, Arrival) (Answer, error)
+
+// RunFunc is Run with searches that f makes. It sends no bookings.
+func RunFunc(ctx context.Context, cfg Config, f SearchFunc) (*Result, error) {
+	cfg.BookingShare = 0
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	c := newClient(cfg)
+	c.search = f
+	return c.run(ctx)
+}
+
+func (c *client) run(ctx context.Context) (*Result, error) {
+	plan := schedule(c.cfg)
 	ids, err := c.issueFor(ctx, plan)
 	if err != nil {
 		return nil, err
 	}
-	r := newRecorder(cfg)
+	r := newRecorder(c.cfg)
 	c.drive(ctx, plan, ids, r)
 	if err := c.checkBookings(ctx, r); err != nil {
 		return nil, err
@@ -29,10 +47,10 @@
 }
 
 // issueFor gets one booking id for each booking of the schedule.
-func (c *client) issueFor(ctx context.Context, plan []arrival) ([]string, error) {
+func (c *client) issueFor(ctx context.Context, plan []Arrival) ([]string, error) {
 	n := 0
 	for _, a := range plan {
-		if a.booking {
+		if a.Booking {
 			n++
 		}
 	}
@@ -43,7 +61,7 @@
 }
 
 // drive sends the calls at their times and waits for their ends.
-func (c *client) drive(ctx context.Context, plan []arrival, ids []string, r *recorder) {
+func (c *client) drive(ctx context.Context, plan []Arrival, ids []string, r *recorder) {
 	var all sync.WaitGroup
 	defer all.Wait()
 	slots := make(chan struct{}, c.cfg.MaxInFlight)
@@ -52,10 +70,10 @@
 	defer timer.Stop()
 	for _, a := range plan {
 		id := ""
-		if a.booking {
+		if a.Booking {
 			id, ids = ids[0], ids[1:]
 		}
-		due := began.Add(a.at)
+		due := began.Add(a.At)
 		timer.Reset(time.Until(due))
 		select {
 		case <-timer.C:
@@ -76,14 +94,13 @@
 	}
 }
 
-func (c *client) one(ctx context.Context, a arrival, id string, due time.Time, r *recorder) {
-	entry := c.cfg.Entries[a.entry]
-	if a.booking {
-		got, err := c.book(ctx, entry, id)
+func (c *client) one(ctx context.Context, a Arrival, id string, due time.Time, r *recorder) {
+	if a.Booking {
+		got, err := c.book(ctx, c.cfg.Entries[a.Entry], id)
 		r.booked(a, id, time.Since(due), got, err)
 		return
 	}
-	got, err := c.search(ctx, entry)
+	got, err := c.search(ctx, a)
 	r.searched(a, time.Since(due), got, err)
 }
 
