--- a/testbed/cell/cell.go
+++ b/testbed/cell/cell.go
@@ -97,7 +97,7 @@
 	var err error
 	endpoints := 1
 	if c.Spec.OwnEndpoints {
-		endpoints = c.Spec.Instances
+		endpoints = max(1, c.Spec.Instances)
 	}
 	if c.Config, err = c.startPlatform("config-service", endpoints); err != nil {
 		return err
@@ -338,6 +338,27 @@
 	})
 }
 
+// AwaitComplete waits until every running instance answers a search with full
+// coverage. A new instance finds its targets by probes, so that its first
+// answers may be partial.
+func (c *Cell) AwaitComplete(ctx context.Context, timeout time.Duration) error {
+	const budget = 500 * time.Millisecond
+	return Await(ctx, timeout, func() error {
+		for _, entry := range c.Entries() {
+			answer, err := Search(ctx, entry, "", "{}", budget)
+			switch {
+			case err != nil:
+				return err
+			case answer.Error != nil:
+				return answer.Error
+			case answer.Coverage.Fraction != 1:
+				return fmt.Errorf("%s misses %v", entry, answer.Coverage.Missing)
+			}
+		}
+		return nil
+	})
+}
+
 // Await polls check until it returns nil. The error is the last one of check.
 func Await(ctx context.Context, timeout time.Duration, check func() error) error {
 	// pollInterval is short against the times that are waited for.
--- a/testbed/cell/spec.go
+++ b/testbed/cell/spec.go
@@ -85,8 +85,8 @@
 	switch {
 	case len(s.Places) == 0 || len(s.Places) > 200:
 		return errors.New("use 1 to 200 places")
-	case s.Instances < 1 || s.Instances+len(s.Places)+2 > maxProcesses:
-		return fmt.Errorf("use at least 1 instance and at most %d processes", maxProcesses)
+	case s.Instances < 0 || s.Instances+len(s.Places)+2 > maxProcesses:
+		return fmt.Errorf("use 0 or more instances and at most %d processes", maxProcesses)
 	case s.Groups < 1 || s.Replicas < 1 || s.Slots < 1 || s.Partitions < 1:
 		return errors.New("groups, replicas, slots and partitions must be at least 1")
 	case s.Replicas > len(s.Places):
--- a/testbed/demo/demo.go
+++ b/testbed/demo/demo.go
@@ -68,16 +68,7 @@
 	for _, in := range d.cell.Instances {
 		d.say("%s in %s is ready at %s", in.ID, in.Place, in.Entry)
 	}
-	// Targets are found by probes, so that the first answers may be partial.
-	err := cell.Await(ctx, warmBound, func() error {
-		for _, entry := range d.cell.Entries() {
-			if _, err := d.search(ctx, entry, "warm-up"); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	if err != nil {
+	if err := d.cell.AwaitComplete(ctx, warmBound); err != nil {
 		return err
 	}
 	return d.answers(ctx, "first")
