--- a/testbed/cell/cell.go
+++ b/testbed/cell/cell.go
@@ -196,7 +196,7 @@
 
 // StartInstance starts a daemon, also one that has ended.
 func (c *Cell) StartInstance(in *Instance) error {
-	p, err := proc.Start(c.Spec.Dir, in.ID, filepath.Join(c.Spec.Bin, "galenadyked"), "run", in.settings)
+	p, err := proc.Start(c.Spec.Dir, in.ID, filepath.Join(c.Spec.Bin, "galenadyked"), "run", "--settings", in.settings)
 	if err != nil {
 		return err
 	}
