fleet: publish a target only after its own probe

The daemon's log shows the incarnation of the missing group's target go from 1 back to 0: an instance that led the target for a few milliseconds at its start published it without a probe, so without index versions, and its higher publication number replaced the state of the present lead until the next probe, up to 500 ms later. Ruled out: the target itself (it was warm and idle) and the order (the target's place was in). Change: the data plane's observation is published only for a target that a probe has shown to be up; a lead that has published its own state answers a late state of another lead with a higher number instead of taking it.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/view"
 )
 
 // Guards against a fleet that never serves: every instance becomes ready, each
@@ -33,3 +36,42 @@
 		}
 	}
 }
+
+// Guards against a state of a target without index versions that replaces one
+// with them: searches then leave the target's group out. It came from a lead
+// that published before its first probe and lost the target at once.
+func TestLateStateOfFormerLead(t *testing.T) {
+	p := newPump(t, 2, newSet(1, "a", 4, 2))
+	p.run(4 * time.Second)
+	lead, other := p.nodes[0], p.nodes[1]
+	id := lead.f.self.leads[0].id
+	p.post(p.now, 1, 0, model.PeerInput{From: instance(1), Incarnation: other.life, Message: model.Exchange{
+		Targets: []model.TargetState{{
+			Target: id, Origin: instance(1), OriginLife: other.life, Number: 1 << 20, Level: 1,
+		}},
+	}})
+	for range 400 {
+		p.run(step)
+		if len(lead.f.Target(id).Versions) == 0 || len(other.f.Target(id).Versions) == 0 {
+			t.Fatalf("versions of %s are lost", id)
+		}
+	}
+	if own := &lead.f.byTarget[id].state; own.Number <= 1<<20 {
+		t.Errorf("number %d of the lead's state is not above the late one", own.Number)
+	}
+}
+
+// Guards against publishing a target before its first probe.
+func TestNoStateBeforeProbe(t *testing.T) {
+	p := newPump(t, 2, newSet(1, "a", 4, 2))
+	p.report = func(model.TargetID) (model.TargetReport, bool) { return model.TargetReport{}, false }
+	p.run(4 * time.Second)
+	f := p.nodes[0].f
+	id := f.self.leads[0].id
+	var out []model.Output
+	f.Report(model.Now{Mono: p.now, Boot: p.now},
+		view.Report{Observations: []view.Observation{{Target: id, Level: 1}}}, &out)
+	if info := f.Target(id); info.Known && info.Level > 0 {
+		t.Errorf("target %s published as %+v without a probe", id, info)
+	}
+}
--- a/core/fleet/probes.go
+++ b/core/fleet/probes.go
@@ -123,8 +123,14 @@
 	if t == nil || t.lead != f.self {
 		return
 	}
-	next := t.state
 	t.own = o.Level
+	if !t.known || t.state.Level == 0 {
+		// Only a probe shows that a target is up. Before it there is no
+		// version to publish either, and an empty state would replace one
+		// that a peer holds.
+		return
+	}
+	next := t.state
 	next.Level = o.Level
 	if o.Incarnation > next.Incarnation {
 		next.Incarnation = o.Incarnation
@@ -138,6 +144,14 @@
 	if t.known && f.ownState(t) && sameState(&t.state, &next) {
 		return
 	}
+	f.setOwnState(t, next)
+}
+
+// republish gives the own state of a target a number above all that this
+// instance has seen.
+func (f *Fleet) republish(t *target) { f.setOwnState(t, t.state) }
+
+func (f *Fleet) setOwnState(t *target, next model.TargetState) {
 	f.number++
 	next.Target, next.Origin, next.OriginLife = t.id, f.cfg.Self, f.cfg.Incarnation
 	next.Number = f.number
@@ -205,11 +219,18 @@
 		// The origin had left the list in between.
 		f.linkOrigin(t, origin)
 	}
-	if !t.known || laterState(s, &t.state) {
-		// If this instance leads the target, its next probe publishes the
-		// state anew, because another origin published this one.
-		f.setState(t, origin, *s)
+	if t.known && !laterState(s, &t.state) {
+		return true
+	}
+	if t.known && t.lead == f.self && f.ownState(t) {
+		// A former lead's publication that arrives late is older than this
+		// instance's own probe, whatever its number.
+		f.republish(t)
+		return true
 	}
+	// If this instance leads the target, its next probe publishes the state
+	// anew, because another origin published this one.
+	f.setState(t, origin, *s)
 	return true
 }
 
--- a/node/api/handlers.go
+++ b/node/api/handlers.go
@@ -62,13 +62,6 @@
 	return &model.Error{Kind: model.KindDeadline, Execution: model.Unknown, Message: "this instance gave an answer of another kind; report it with the output of GET /v1/trace"}
 }
 
-func kindOf(e *model.Error) model.Kind {
-	if e == nil {
-		return model.KindNone
-	}
-	return e.Kind
-}
-
 func (s *Server) search(w http.ResponseWriter, r *http.Request) {
 	c := s.arrive(w, r, telemetry.CallSearch)
 	var req searchRequest
