Parse a bundle without recording field lines and a second encoding

Cause: Parse kept the line of every field, which a bundle of one line does not need, and encoded the set twice, once only to learn its size. Change: neither is done for a bundle.

--- a/core/objects/bundle.go
+++ b/core/objects/bundle.go
@@ -42,6 +42,7 @@
 		}}
 	}
 	d := newDecoder()
+	d.draft.bundle = true
 	d.findings.limit = maxParseFindings
 	generation, digest := d.bundle(raw)
 	findings := append(d.findings.list, checkDraft(d.draft, maxParseFindings)...)
@@ -105,7 +106,6 @@
 	}
 	for _, o := range d.draft.origins {
 		o.line = 0
-		clear(o.fields)
 	}
 	return generation, digest
 }
--- a/core/objects/check.go
+++ b/core/objects/check.go
@@ -336,7 +336,7 @@
 
 // checkSize checks the size of the canonical form of an otherwise good set.
 func (c *checker) checkSize() {
-	if len(c.findings.list) > 0 {
+	if len(c.findings.list) > 0 || c.draft.bundle {
 		return
 	}
 	sorted := c.set.clone()
--- a/core/objects/decode.go
+++ b/core/objects/decode.go
@@ -19,16 +19,26 @@
 type origin struct {
 	file   string
 	line   int
-	fields map[string]int  // line of each field, by path
+	fields map[string]int  // line of each field, by path; nil for a bundle
 	bad    map[string]bool // paths that already have a finding
 }
 
+// setLine records the line of a field. A bundle has one line only, and its
+// decoding is on the path to adopting a set, so nothing is kept for it.
+func (o *origin) setLine(path string, line int) {
+	if o.fields != nil {
+		o.fields[path] = line
+	}
+}
+
 // draft is a set that has been decoded but not checked. Its slices are in
 // source order.
 type draft struct {
 	set     Set
 	origins map[ref]*origin
 	limits  int // number of limits objects
+	// bundle says that the draft comes from a bundle, whose size is known.
+	bundle bool
 	// partial says that a file could not be read, so that a reference to an
 	// object that is not in the draft proves nothing.
 	partial bool
@@ -158,7 +168,7 @@
 		if !ok {
 			r.wrongType(fmt.Sprintf("groups[%d]", i), n, "the name of a group in quotes")
 		}
-		r.origin.fields[fmt.Sprintf("groups[%d]", i)] = n.line
+		r.origin.setLine(fmt.Sprintf("groups[%d]", i), n.line)
 		route.Groups = append(route.Groups, group)
 	}
 	d.draft.origins[ref{KindRoute, len(d.draft.set.Routes)}] = r.origin
@@ -219,10 +229,13 @@
 }
 
 func newReader(d *decoder, line int, members []member) *reader {
-	o := &origin{file: d.file, line: line, fields: map[string]int{}, bad: map[string]bool{}}
+	o := &origin{file: d.file, line: line, bad: map[string]bool{}}
+	if !d.draft.bundle {
+		o.fields = map[string]int{}
+	}
 	r := &reader{decoder: d, origin: o, line: line, members: members, known: map[string]bool{}}
 	for _, m := range members {
-		o.fields[m.name] = m.node.line
+		o.setLine(m.name, m.node.line)
 	}
 	return r
 }
@@ -231,7 +244,7 @@
 // nil after a report if the element is not an object.
 func (r *reader) element(name string, i int, n node) *reader {
 	path := fmt.Sprintf("%s[%d]", name, i)
-	r.origin.fields[path] = n.line
+	r.origin.setLine(path, n.line)
 	members, ok := n.value.([]member)
 	if !ok {
 		r.wrongType(path, n, "an object")
@@ -242,7 +255,7 @@
 		line: n.line, members: members, known: map[string]bool{},
 	}
 	for _, m := range members {
-		r.origin.fields[sub.prefix+m.name] = m.node.line
+		r.origin.setLine(sub.prefix+m.name, m.node.line)
 	}
 	sub.reportRepeated()
 	return sub
