Show no confirmation time for an instance without a configuration

Cause: status printed "0 ms ago" for an instance that has no set in force. Change: the cell shows a hyphen.

--- a/ctl/command/fleet.go
+++ b/ctl/command/fleet.go
@@ -201,7 +201,7 @@
 			continue
 		}
 		instances.row(i.Address, s.Instance, s.Place, yesNo(s.Ready), fmt.Sprint(s.Generation), shortDigest(s.Digest),
-			age(s.ConfirmedAgeMS)+" ago", fmt.Sprint(len(s.Members)), fmt.Sprint(len(s.Targets)))
+			confirmed(s), fmt.Sprint(len(s.Members)), fmt.Sprint(len(s.Targets)))
 	}
 	if err := instances.flush(); err != nil {
 		return err
@@ -231,6 +231,14 @@
 	return err
 }
 
+// confirmed tells when the configuration was last confirmed, if there is one.
+func confirmed(s *client.Status) string {
+	if s.Generation == 0 {
+		return "-"
+	}
+	return age(s.ConfirmedAgeMS) + " ago"
+}
+
 // age formats an age in milliseconds.
 func age(ms float64) string {
 	if ms < 10_000 {
