Push changes newest first and measure the exchange

A change waited behind the 2,300 states of a start: at 32 states in each message and 15 pushes of each, up to 100 s. The same states were also sent again in replies, because no member but the origin knew that its numbers were complete. Changes that were never pushed now go first, fewer pushes follow, and each request names its receiver in the version vector.

--- /dev/null
+++ b/core/fleet/bench_test.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"galenadyke.dev/core/model"
+)
+
+// bench is one instance among many whose members are all serving.
+type bench struct {
+	f   *Fleet
+	now time.Duration
+	out []model.Output
+	hb  uint64
+}
+
+func newBench(members, groups int) *bench {
+	b := &bench{now: time.Second, hb: 2}
+	b.f = New(model.CoreConfig{Self: instance(0), Incarnation: 1, Address: "10.0.0.1:1", Place: "dc0", Seed: 1})
+	list := model.InstanceList{OK: true}
+	for i := range members {
+		list.Instances = append(list.Instances, model.InstanceInfo{
+			ID: instance(i), Address: "10.0.0.1:1", Place: model.PlaceID(fmt.Sprintf("dc%d", i%7)),
+		})
+	}
+	set := newSet(1, "bench", groups, 2)
+	for g := range set.Groups {
+		for r := range set.Groups[g].Targets {
+			set.Groups[g].Targets[r].Place = fmt.Sprintf("dc%d", (g+r)%7)
+		}
+	}
+	b.tick(list, model.PeerConfig{From: instance(1), Set: set})
+	all := model.Exchange{Round: 1}
+	for i := 1; i < members; i++ {
+		all.Members = append(all.Members, b.state(i, model.MemberServing))
+	}
+	b.tick(b.from(1, all))
+	b.f.out = &b.out
+	b.f.setSelfStatus(model.MemberServing)
+	for range 30 {
+		b.now += 100 * time.Millisecond
+		b.tick()
+	}
+	return b
+}
+
+func (b *bench) state(i int, s model.MemberStatus) model.MemberState {
+	return model.MemberState{ID: instance(i), Incarnation: 1, Heartbeat: b.hb, Status: s}
+}
+
+func (b *bench) from(i int, m model.PeerMessage) model.PeerInput {
+	return model.PeerInput{From: instance(i), Incarnation: 1, Message: m}
+}
+
+func (b *bench) tick(inputs ...model.Input) int {
+	for _, in := range inputs {
+		b.f.Step(in)
+	}
+	b.out = b.out[:0]
+	return len(b.f.Tick(model.Now{Mono: b.now, Boot: b.now}, &b.out).Targets)
+}
+
+func BenchmarkIdleTick(b *testing.B) {
+	f := newBench(510, 1150)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.tick()
+	}
+}
+
+// BenchmarkExchange answers one request that names 32 origins.
+func BenchmarkExchange(b *testing.B) {
+	f := newBench(510, 1150)
+	msg := model.Exchange{Round: 1, Members: []model.MemberState{f.state(1, model.MemberServing)}}
+	for i := range seenChunk {
+		msg.Seen = append(msg.Seen, model.SeenUpTo{Origin: instance(i + 2), Incarnation: 1, Number: 2})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.tick(f.from(1, msg))
+	}
+}
+
+// BenchmarkLeaveAndJoin lets one member drain and serve again.
+func BenchmarkLeaveAndJoin(b *testing.B) {
+	for _, step := range []struct {
+		name    string
+		first   model.MemberStatus
+		measure model.MemberStatus
+	}{
+		{"leave", model.MemberServing, model.MemberDraining},
+		{"join", model.MemberDraining, model.MemberServing},
+	} {
+		b.Run(step.name, func(b *testing.B) {
+			f := newBench(510, 1150)
+			touched, ticks := 0, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				member := 1 + ticks%500
+				f.hb++
+				b.StopTimer()
+				f.tick(f.from(1, model.Exchange{Members: []model.MemberState{f.state(member, step.first)}}))
+				f.hb++
+				b.StartTimer()
+				touched += f.tick(f.from(1, model.Exchange{Members: []model.MemberState{f.state(member, step.measure)}}))
+				b.StopTimer()
+				f.hb++
+				f.tick(f.from(1, model.Exchange{Members: []model.MemberState{f.state(member, model.MemberServing)}}))
+				b.StartTimer()
+				ticks++
+			}
+			b.ReportMetric(float64(touched)/float64(ticks), "targets/op")
+		})
+	}
+}
+
+// BenchmarkExchangeBytes compares the bytes that one instance sends for its
+// state exchange in 30 s of a steady fleet, in which one target a second
+// changes its level, with those of sending its whole state each time.
+func BenchmarkExchangeBytes(b *testing.B) {
+	for _, n := range []int{8, 64, 256, 510} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				var diff, full, messages int
+				stream := newStream(b)
+				p := newPump(b, n, newSet(1, "bytes", 1150, 2))
+				p.run(20 * time.Second)
+				p.sent = func(i int, m model.PeerMessage) {
+					if m, ok := m.(model.Exchange); ok && i == 0 {
+						messages++
+						diff += stream.size(b, m)
+						if messages%20 == 1 {
+							full += 20 * stream.size(b, wholeState(p.nodes[0].f))
+						}
+					}
+				}
+				for i := range 30 {
+					p.level(i%n, 1+i%2)
+					p.run(time.Second)
+				}
+				b.ReportMetric(float64(diff)/30, "diff-B/s")
+				b.ReportMetric(float64(full)/30, "full-B/s")
+				b.ReportMetric(float64(messages)/30, "msgs/s")
+			}
+		})
+	}
+}
+
+// wholeState is an exchange without version vectors.
+func wholeState(f *Fleet) model.Exchange {
+	msg := model.Exchange{Config: f.configState()}
+	for _, m := range f.listed {
+		msg.Members = append(msg.Members, f.memberState(m))
+	}
+	for _, g := range f.groups {
+		for _, t := range g.targets {
+			msg.Targets = append(msg.Targets, t.state)
+		}
+	}
+	return msg
+}
+
+// stream counts the bytes of messages in gob, whose description of the types
+// is sent only once. The field numbers and variable-length integers are close
+// to the protocol buffers that the daemons use.
+type stream struct {
+	bytes int
+	enc   *gob.Encoder
+}
+
+func newStream(b *testing.B) *stream {
+	s := &stream{}
+	s.enc = gob.NewEncoder(s)
+	s.size(b, model.Exchange{})
+	return s
+}
+
+func (s *stream) Write(p []byte) (int, error) {
+	s.bytes += len(p)
+	return len(p), nil
+}
+
+func (s *stream) size(b *testing.B, m model.Exchange) int {
+	before := s.bytes
+	if err := s.enc.Encode(m); err != nil {
+		b.Fatal(err)
+	}
+	return s.bytes - before
+}
--- a/core/fleet/exchange.go
+++ b/core/fleet/exchange.go
@@ -23,18 +23,12 @@
 	seenCursor int
 	fullSync   int
 
-	memberRumors []*member
-	targetRumors []*target
+	memberRumors rumors[*member]
+	targetRumors rumors[*target]
 	helping      []helperPing
 	sweepCursor  int
 }
 
-// rumorState counts in how many messages a change has been pushed.
-type rumorState struct {
-	queued bool
-	sent   int
-}
-
 // origin holds the publications of one member's life, linked by number.
 type origin struct {
 	first, last *target
@@ -167,7 +161,7 @@
 // sendExchange sends a request with changes and a part of the version vector.
 func (f *Fleet) sendExchange(m *member) {
 	msg := f.newRequest(m)
-	msg.Seen = f.takeSeen()
+	msg.Seen = f.takeSeen(m)
 	msg.Members = f.takeMemberRumors(msg.Members)
 	msg.Targets = f.takeTargetRumors(nil, nil)
 	f.send(m, msg)
@@ -201,32 +195,37 @@
 
 // takeSeen returns the next part of the version vector, or all of it in a
 // small fleet and after a start. An origin that is not named is not asked for.
-func (f *Fleet) takeSeen() []model.SeenUpTo {
+// The receiver is always named, because only an origin itself surely knows all
+// of its publications.
+func (f *Fleet) takeSeen(to *member) []model.SeenUpTo {
 	count := len(f.listed)
 	if count > seenChunk && f.fullSync == 0 {
 		count = seenChunk
 	}
-	seen := make([]model.SeenUpTo, 0, count)
+	seen := []model.SeenUpTo{f.seenUpTo(to)}
 	for range count {
 		if f.seenCursor >= len(f.listed) {
 			f.seenCursor = 0
 		}
 		m := f.listed[f.seenCursor]
 		f.seenCursor++
-		if m == f.self {
-			continue
-		}
-		m.origin.askedRound = f.round
-		s := model.SeenUpTo{Origin: m.id}
-		if m.known {
-			s.Incarnation, s.Number = m.incarnation, m.origin.seen
+		if m != f.self && m != to {
+			seen = append(seen, f.seenUpTo(m))
 		}
-		seen = append(seen, s)
 	}
 	slices.SortFunc(seen, func(a, b model.SeenUpTo) int { return compareIDs(a.Origin, b.Origin) })
 	return seen
 }
 
+func (f *Fleet) seenUpTo(m *member) model.SeenUpTo {
+	m.origin.askedRound = f.round
+	s := model.SeenUpTo{Origin: m.id}
+	if m.known {
+		s.Incarnation, s.Number = m.incarnation, m.origin.seen
+	}
+	return s
+}
+
 func (f *Fleet) handleExchange(m *member, msg *model.Exchange) {
 	if msg.Reply && msg.Round <= f.wakeRound {
 		// The answer can be as old as the suspension.
@@ -333,44 +332,64 @@
 	}
 }
 
-// spreadMember pushes a changed member state with the next messages.
-func (f *Fleet) spreadMember(m *member) {
-	m.memberRumor.sent = 0
-	if !m.memberRumor.queued {
-		m.memberRumor.queued = true
-		f.memberRumors = append(f.memberRumors, m)
+// rumors is a queue of changes that are pushed with the next messages. Changes
+// that were never pushed go first, so that a burst does not delay them.
+type rumors[T any] struct {
+	fresh []T
+	sent  []T // pushed at least once, in the order of their next turn
+}
+
+// rumorState counts in how many messages a change has been pushed.
+type rumorState struct {
+	queued bool
+	pushes int
+}
+
+// add queues a changed entity. One that waits for its next turn stays there
+// and is counted anew.
+func (r *rumors[T]) add(v T, s *rumorState) {
+	s.pushes = 0
+	if !s.queued {
+		s.queued = true
+		r.fresh = append(r.fresh, v)
 	}
 }
 
-func (f *Fleet) spreadTarget(t *target) {
-	t.rumor.sent = 0
-	if !t.rumor.queued {
-		t.rumor.queued = true
-		f.targetRumors = append(f.targetRumors, t)
+// take calls push for up to count entities and queues them again until they
+// have been pushed often enough.
+func (r *rumors[T]) take(count, pushes int, state func(T) *rumorState, push func(T)) {
+	fresh := min(count, len(r.fresh))
+	again := min(count-fresh, len(r.sent))
+	taken := append(slices.Clone(r.fresh[:fresh]), r.sent[:again]...)
+	r.fresh = slices.Delete(r.fresh, 0, fresh)
+	r.sent = slices.Delete(r.sent, 0, again)
+	for _, v := range taken {
+		push(v)
+		s := state(v)
+		s.pushes++
+		s.queued = s.pushes < pushes
+		if s.queued {
+			r.sent = append(r.sent, v)
+		}
 	}
 }
 
-// rumorSends is the number of messages of one instance that push a change. A
-// few times the logarithm of the fleet reaches all members with a probability
-// near 1; the rotating version vector covers the rest.
-func (f *Fleet) rumorSends() int { return 3*bits.Len(uint(len(f.listed))) + 3 }
+func (f *Fleet) spreadMember(m *member) { f.memberRumors.add(m, &m.rumor) }
+
+func (f *Fleet) spreadTarget(t *target) { f.targetRumors.add(t, &t.rumor) }
+
+// rumorPushes is the number of messages of one instance that push a change.
+// With c more than the logarithm of the fleet, a member misses a change with a
+// probability of about exp(-c); the rotating version vector covers that.
+func (f *Fleet) rumorPushes() int { return bits.Len(uint(len(f.listed))) + 3 }
 
 func (f *Fleet) takeMemberRumors(states []model.MemberState) []model.MemberState {
-	limit := f.rumorSends()
-	count := min(len(f.memberRumors), maxMemberRumors)
-	taken := f.memberRumors[:count]
-	f.memberRumors = f.memberRumors[count:]
-	for _, m := range taken {
-		m.memberRumor.sent++
-		if m.memberRumor.sent >= limit || !m.listed {
-			m.memberRumor.queued = false
-		} else {
-			f.memberRumors = append(f.memberRumors, m)
-		}
+	state := func(m *member) *rumorState { return &m.rumor }
+	f.memberRumors.take(maxMemberRumors, f.rumorPushes(), state, func(m *member) {
 		if m.listed && !hasState(states, m.id) {
 			states = append(states, f.memberState(m))
 		}
-	}
+	})
 	return states
 }
 
@@ -381,22 +400,12 @@
 // takeTargetRumors leaves out the origins of the request's version vector,
 // whose publications the reply has already.
 func (f *Fleet) takeTargetRumors(states []model.TargetState, asked []model.SeenUpTo) []model.TargetState {
-	limit := f.rumorSends()
-	count := min(len(f.targetRumors), maxTargetRumors)
-	taken := f.targetRumors[:count]
-	f.targetRumors = f.targetRumors[count:]
-	for _, t := range taken {
-		t.rumor.sent++
-		if t.rumor.sent >= limit || t.removed {
-			t.rumor.queued = false
-		} else {
-			f.targetRumors = append(f.targetRumors, t)
-		}
-		if t.removed || t.linked == nil || isAsked(asked, t.state.Origin) {
-			continue
+	state := func(t *target) *rumorState { return &t.rumor }
+	f.targetRumors.take(maxTargetRumors, f.rumorPushes(), state, func(t *target) {
+		if !t.removed && t.linked != nil && !isAsked(asked, t.state.Origin) {
+			states = append(states, t.state)
 		}
-		states = append(states, t.state)
-	}
+	})
 	return states
 }
 
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -71,7 +71,7 @@
 	useEpoch uint64 // of the group assignment that useCount belongs to
 	useCount int
 
-	memberRumor rumorState
+	rumor rumorState
 }
 
 // place is a data centre, from the list or from the set.
