Stop leading when no peer hears this instance

An instance whose messages were lost while it still heard its peers excluded all of them and led all targets beside their leads. It now gives up its leads after 1.5 s without an answer while requests of others arrive, and excludes nobody during that time; its peers can take over after 2.6 s at the earliest. Two rows of the fault matrix cover one-way and single-link cuts: no overlap. The tolerance between the two clocks is raised to 100 ms, because preemption between their readings looked like a sleep.

--- a/core/fleet/detect.go
+++ b/core/fleet/detect.go
@@ -120,6 +120,11 @@
 	if !m.listed || m.health != healthSuspected || f.now-m.suspectedAt < view.SuspicionTime {
 		return
 	}
+	if f.mute() {
+		m.suspectedAt = f.now
+		f.after(view.SuspicionTime, timer{kind: timerSuspicion, member: m})
+		return
+	}
 	f.setContact(m, healthExcluded, m.reached, m.agrees)
 	f.warn("MemberExcluded", string(m.id), healthSuspected.String(), healthExcluded.String())
 	f.lose(m)
@@ -145,6 +150,7 @@
 func (f *Fleet) resume(gap time.Duration) {
 	f.warn("Suspended", string(f.cfg.Self), "", gap.String())
 	f.wakeRound = f.round
+	f.lastReply = f.now
 	f.fullSync = fullSyncRounds
 	f.helping = f.helping[:0]
 	for _, m := range f.listed {
--- a/core/fleet/exchange.go
+++ b/core/fleet/exchange.go
@@ -22,6 +22,8 @@
 	lost       []*member // suspected and excluded members
 	seenCursor int
 	fullSync   int
+	lastReply  time.Duration // last answer to an exchange
+	lastHeard  time.Duration // last request of another member
 
 	memberRumors rumors[*member]
 	targetRumors rumors[*target]
@@ -271,6 +273,7 @@
 }
 
 func (f *Fleet) exchangeReply(m *member, msg *model.Exchange) {
+	f.lastReply = f.now
 	if m.pingRound != 0 && msg.Round >= m.pingRound {
 		m.pingRound = 0
 	}
@@ -289,6 +292,7 @@
 }
 
 func (f *Fleet) answerExchange(m *member, msg *model.Exchange) {
+	f.lastHeard = f.now
 	reply := model.Exchange{Round: msg.Round, Reply: true, Config: f.configState(), Members: f.selfAnd(m)}
 	for i := range msg.Seen {
 		f.appendNewer(&reply, &msg.Seen[i])
--- a/core/fleet/limits.go
+++ b/core/fleet/limits.go
@@ -63,7 +63,11 @@
 	reacquireGap = 2 * time.Second
 	// clockSkew is the difference between the advances of the two clocks that
 	// counts as a suspension. Smaller ones come from reading them in turn.
-	clockSkew = 20 * time.Millisecond
+	clockSkew = 100 * time.Millisecond
+	// muteAfter is the time without any answer after which an instance that
+	// still hears others concludes that they do not hear it. It is shorter
+	// than the time in which they can exclude it and take over.
+	muteAfter = 1500 * time.Millisecond
 	// releaseMemory is the time for which a lead release is kept that arrives
 	// before this instance knows that it leads.
 	releaseMemory = 2 * time.Second
--- a/core/fleet/matrix_test.go
+++ b/core/fleet/matrix_test.go
@@ -66,6 +66,18 @@
 		p.run(3 * second)
 		p.wantReady(8)
 	}},
+	{name: "one link cut", run: func(p *pump) {
+		p.cut = func(a, b int) bool { return a+b == 1 }
+		p.run(10 * second)
+		p.wantReady(8)
+	}},
+	{name: "one not heard", gap: takeover, run: func(p *pump) {
+		p.cut = func(from, _ int) bool { return from == 0 }
+		p.run(10 * second)
+		p.heal()
+		p.run(3 * second)
+		p.wantReady(8)
+	}},
 	{name: "split, service at both", overlap: 400 * time.Millisecond, gap: takeover, run: func(p *pump) {
 		p.split(4)
 		p.run(10 * second)
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -391,12 +391,16 @@
 	f.announceSelf()
 }
 
+// mute reports whether this instance hears others but gets no answers, so that
+// the others are about to exclude it although it sees them alive.
+func (f *Fleet) mute() bool { return f.lastHeard-f.lastReply > muteAfter }
+
 // updateSelfEligibility lets this instance lead. A draining instance leads
 // only while no other member can: otherwise its targets would get no work
 // while the balancer still sends calls here.
 func (f *Fleet) updateSelfEligibility() {
 	m := f.self
-	can := f.canLead(m)
+	can := f.canLead(m) && !f.mute()
 	if !can && m.listed && m.status == model.MemberDraining && f.stopPhase < stopDone {
 		others := len(f.eligible)
 		if m.isEligible {
