Bound reads, report lapsed confirmation and stop earlier lives

No test held the rule that reads grow more slowly than the fleet, a lapse of the confirmation of a reader gave no event, and an earlier life of an instance that resumed beside its successor went on sending. Add the test, the events ConfigUnconfirmed, ConfigConfirmed and ConfigServiceStale, and stop the earlier life. In a large fleet only some members tell a suspected one.

--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -192,8 +192,10 @@
 }
 
 // BenchmarkFleet runs a whole fleet in virtual time and reports the reads at
-// the configuration service, the worst age of a confirmation and the time
-// until a new set is in force everywhere.
+// the configuration service, the ages of confirmations, the time until a
+// new set is in force everywhere, the time until the targets of a seventh of
+// the instances, which end at once, are led again, and the time until a new
+// instance is ready while the service is down.
 func BenchmarkFleet(b *testing.B) {
 	for _, n := range []int{8, 64, 256, 510} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
@@ -206,11 +208,13 @@
 				b.ReportMetric(sum.Seconds(), "mean-age-s")
 				b.ReportMetric(float64(unready), "not-ready-samples")
 				b.ReportMetric(p.spread(newSet(2, "b", 50, 2)).Seconds(), "spread-s")
+				b.ReportMetric(p.loss(7).Seconds(), "takeover-s")
 				p.service = func(int) *objects.Set { return nil }
 				p.run(20 * time.Second)
 				b.ReportMetric(float64(p.readsIn(10*time.Second))/10, "reads-down/s")
 				_, _, unready = p.ages(2 * time.Second)
 				b.ReportMetric(float64(unready), "not-ready-down")
+				b.ReportMetric(p.joinTime().Seconds(), "join-down-s")
 				p.publish(sets["b"])
 				b.ReportMetric(float64(p.readsIn(5*time.Second))/5, "reads-back/s")
 			}
@@ -246,6 +250,33 @@
 	return worst, mean / time.Duration(samples), unready
 }
 
+// loss ends one instance in every count at once and returns the time until
+// each target has one active lead again.
+func (p *pump) loss(count int) time.Duration {
+	start := p.now
+	for i := 3; i < len(p.nodes); i += count {
+		p.nodes[i].up = false
+	}
+	for led := false; !led && p.now < start+30*time.Second; {
+		p.run(10 * step)
+		led = true
+		for id := range p.nodes[0].f.byTarget {
+			led = led && len(p.activeLeads(id)) == 1
+		}
+	}
+	return p.now - start
+}
+
+// joinTime adds an instance and returns the time until it is ready.
+func (p *pump) joinTime() time.Duration {
+	start := p.now
+	p.add()
+	for n := p.nodes[len(p.nodes)-1]; !n.ready && p.now < start+30*time.Second; {
+		p.run(step)
+	}
+	return p.now - start
+}
+
 // spread publishes a set and returns the time until it is in force everywhere.
 func (p *pump) spread(s *objects.Set) time.Duration {
 	start := p.now
--- a/core/fleet/configuration.go
+++ b/core/fleet/configuration.go
@@ -173,6 +173,9 @@
 	if in.Set != nil {
 		f.serviceOrder = orderOf(in.Set)
 		f.adopt(in.Set, in.Raw, nil)
+		if laterOrder(f.configOrder(), f.serviceOrder) {
+			f.warn("ConfigServiceStale", formatOrder(f.serviceOrder), formatOrder(f.configOrder()), formatOrder(f.serviceOrder))
+		}
 	}
 	if f.set == nil || f.readSent < f.resumedAt || f.serviceOrder != f.configOrder() {
 		// The service holds an older set than the fleet, or the answer may be
@@ -281,10 +284,17 @@
 // updateLapsed starts the own reads of an instance whose confirmation lapsed.
 func (f *Fleet) updateLapsed() {
 	lapsed := !f.confirmFresh() && f.now-max(f.startedAt, f.resumedAt) > view.ConfirmMaxAge
-	if lapsed && !f.lapsed && !f.isReader() {
+	if lapsed == f.lapsed {
+		return
+	}
+	f.lapsed = lapsed
+	if !lapsed {
+		f.event("ConfigConfirmed", formatOrder(f.configOrder()), "unconfirmed", "confirmed")
+		return
+	}
+	f.warn("ConfigUnconfirmed", formatOrder(f.configOrder()), "confirmed", "unconfirmed")
+	if !f.isReader() {
 		f.backoff = 0
 		f.backOff()
-		f.warn("ConfigUnconfirmed", formatOrder(f.configOrder()), "confirmed", "unconfirmed")
 	}
-	f.lapsed = lapsed
 }
--- a/core/fleet/detect.go
+++ b/core/fleet/detect.go
@@ -112,8 +112,11 @@
 		f.lost = append(f.lost, m)
 	}
 	f.spreadMember(m)
-	// The member may still hear this instance and can then refute at once.
-	f.sendLight(m)
+	// The member may still hear this instance and can then refute at once. In
+	// a large fleet some of those that hear of the suspicion are enough.
+	if f.rng.IntN(len(f.listed)) < announceAllBelow {
+		f.sendLight(m)
+	}
 }
 
 func (f *Fleet) suspicionExpired(m *member) {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/objects"
 )
 
 // Guards against a fleet that never serves: every instance becomes ready, each
@@ -109,3 +110,46 @@
 		}
 	}
 }
+
+// Guards against reads at the configuration service that grow with the fleet,
+// also while it is down and after it returns, and against a set that arrives
+// late or goes unconfirmed in a larger fleet.
+func TestReadsGrowSlowerThanTheFleet(t *testing.T) {
+	reads := map[int][3]int{}
+	for _, n := range []int{16, 144} {
+		p := newPump(t, n, newSet(1, "a", 20, 2))
+		p.run(5 * second)
+		steady := p.readsIn(5 * second)
+		if _, _, unready := p.ages(2 * second); unready > 0 {
+			t.Errorf("%d instances: not ready in %d samples", n, unready)
+		}
+		if d := p.spread(newSet(2, "b", 20, 2)); d > 3*second {
+			t.Errorf("%d instances: a set is in force everywhere after %v, want at most 3 s", n, d)
+		}
+		p.service = func(int) *objects.Set { return nil }
+		p.run(5 * second)
+		down := p.readsIn(20 * second)
+		p.publish(sets["b"])
+		reads[n] = [3]int{steady, down, p.readsIn(10 * second)}
+	}
+	for i, phase := range []string{"steady", "down", "back"} {
+		// A fleet of nine times the size has three to four times the readers.
+		if few, many := reads[16][i], reads[144][i]; 10*many > 45*few {
+			t.Errorf("%s: %d reads of 144 instances, %d of 16", phase, many, few)
+		}
+	}
+	t.Logf("reads (steady, down, back): %v", reads)
+}
+
+// Guards against an earlier life of an instance that resumes beside its
+// successor and goes on sending.
+func TestEarlierLifeStops(t *testing.T) {
+	p := newPump(t, 3, matrixSet(1, "a"))
+	p.run(3 * second)
+	later := model.MemberState{ID: instance(0), Incarnation: p.nodes[0].life + 1}
+	p.post(p.now, 1, 0, model.PeerInput{
+		From: instance(1), Incarnation: p.nodes[1].life, Message: model.Exchange{Members: []model.MemberState{later}},
+	})
+	p.run(second)
+	p.want(!p.nodes[0].ready && !p.nodes[0].f.Readiness().OK, "the earlier life has stopped")
+}
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -359,10 +359,14 @@
 }
 
 // mergeSelf refutes a suspicion of this instance by a higher heartbeat and
-// tells some peers at once, so that it arrives before the exclusion.
+// tells some peers at once, so that it arrives before the exclusion. If a
+// later life of the same id exists, this one is not served any more.
 func (f *Fleet) mergeSelf(s *model.MemberState) {
 	if s.Incarnation > f.cfg.Incarnation {
-		f.warn("DuplicateInstance", string(s.ID), formatLife(f.cfg.Incarnation), formatLife(s.Incarnation))
+		if !f.superseded {
+			f.warn("DuplicateInstance", string(s.ID), formatLife(f.cfg.Incarnation), formatLife(s.Incarnation))
+		}
+		f.superseded = true
 		return
 	}
 	if s.Incarnation == f.cfg.Incarnation && s.Suspected && s.Heartbeat >= f.self.heartbeat {
--- a/core/fleet/readiness.go
+++ b/core/fleet/readiness.go
@@ -14,6 +14,7 @@
 	everReady  bool // an announcement was made
 	startedAt  time.Duration
 	listedAt   time.Duration // first list
+	superseded bool          // a later life of this instance exists
 	resumedAt  time.Duration // end of the last suspension
 	fenced     bool          // not confirmed since resumedAt
 	fenceUntil time.Duration
@@ -58,6 +59,8 @@
 	switch {
 	case !f.haveList:
 		return notReady, "the instance list has not been read"
+	case f.superseded:
+		return notReady, "another process with a later incarnation uses the id of this instance"
 	case !f.self.listed:
 		// Peers cannot answer an instance whose address they do not know.
 		return notReady, "the instance is not on the instance list"
