--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -71,7 +71,7 @@
 	useEpoch uint64 // of the group assignment that useCount belongs to
 	useCount int
 
-	memberRumor rumorState
+	rumor rumorState
 }
 
 // place is a data centre, from the list or from the set.
@@ -359,10 +359,14 @@
 }
 
 // mergeSelf refutes a suspicion of this instance by a higher heartbeat and
-// tells some peers at once, so that it arrives before the exclusion.
+// tells some peers at once, so that it arrives before the exclusion. If a
+// later life of the same id exists, this one is not served any more.
 func (f *Fleet) mergeSelf(s *model.MemberState) {
 	if s.Incarnation > f.cfg.Incarnation {
-		f.warn("DuplicateInstance", string(s.ID), formatLife(f.cfg.Incarnation), formatLife(s.Incarnation))
+		if !f.superseded {
+			f.warn("DuplicateInstance", string(s.ID), formatLife(f.cfg.Incarnation), formatLife(s.Incarnation))
+		}
+		f.superseded = true
 		return
 	}
 	if s.Incarnation == f.cfg.Incarnation && s.Suspected && s.Heartbeat >= f.self.heartbeat {
@@ -391,12 +395,16 @@
 	f.announceSelf()
 }
 
+// mute reports whether this instance hears others but gets no answers, so that
+// the others are about to exclude it although it sees them alive.
+func (f *Fleet) mute() bool { return f.lastHeard-f.lastReply > muteAfter }
+
 // updateSelfEligibility lets this instance lead. A draining instance leads
 // only while no other member can: otherwise its targets would get no work
 // while the balancer still sends calls here.
 func (f *Fleet) updateSelfEligibility() {
 	m := f.self
-	can := f.canLead(m)
+	can := f.canLead(m) && !f.mute()
 	if !can && m.listed && m.status == model.MemberDraining && f.stopPhase < stopDone {
 		others := len(f.eligible)
 		if m.isEligible {
