model, view: name the incarnation of the lead in a relayed booking

A random test with repeated messages ran a booking twice: the lead restarted between the two copies and its new life knew nothing of the first. Lead and RelayRequest now carry the incarnation that the sender means. Zero means not known and is not checked, so parts that do not set it yet keep working.

--- a/core/model/peer.go
+++ b/core/model/peer.go
@@ -104,6 +104,10 @@
 // RelayRequest carries the work of one call for all targets that the receiver
 // leads.
 type RelayRequest struct {
+	// Lead is the incarnation of the receiver that the sender means, zero if
+	// it is not known. Another one answers a booking with "unknown": it
+	// cannot tell whether its predecessor has run it.
+	Lead      Incarnation
 	BookingID string          // empty for a search
 	Snapshot  SnapshotVersion // zero for a booking
 	Budget    time.Duration   // remaining at the time of sending
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -33,6 +33,8 @@
 	// Instance is empty if no eligible member exists.
 	Instance model.InstanceID
 	Address  string
+	// Incarnation is that of the instance, as far as known; zero if not.
+	Incarnation model.Incarnation
 	// Self is true if this instance leads the target.
 	Self bool
 	// Active is true if Self and the handover is over, so that work may be
