query: a restarted lead answers old bookings with unknown

A copy of a relayed booking that reaches a later life of the lead is answered "unknown": "not run" would let the owner try another target although the earlier life may have run it. Search copies that arrive while the first is in progress are tested, as are partitions held by two groups.

--- a/core/query/relay.go
+++ b/core/query/relay.go
@@ -22,7 +22,7 @@
 	for _, i := range e.relayed {
 		p := &e.peers[i]
 		e.send(i, model.RelayRequest{
-			BookingID: r.booking, Snapshot: r.snapshot, Budget: r.deadline - e.now,
+			Lead: p.life, BookingID: r.booking, Snapshot: r.snapshot, Budget: r.deadline - e.now,
 			RequestID: r.requestID, Body: r.body, Trace: r.trace, Items: slices.Clone(p.items),
 		})
 		clear(p.items)
@@ -89,6 +89,12 @@
 		booking: m.BookingID, snapshot: m.Snapshot, deadline: e.now + m.Budget,
 		requestID: m.RequestID, body: m.Body, trace: m.Trace,
 	}
+	if m.BookingID != "" && m.Lead != 0 && m.Lead != e.cfg.Incarnation {
+		for k := range m.Items {
+			e.replyTo(i, m.Items[k].Ref, none, outcome{err: model.KindPeerLost, execution: model.Unknown})
+		}
+		return
+	}
 	for k := range m.Items {
 		e.relayItem(i, r, &m.Items[k])
 	}
@@ -102,6 +108,9 @@
 		return
 	}
 	t, ok := e.targetIndex[it.Target]
+	if !ok {
+		t = none
+	}
 	if !ok || !e.targets[t].lead.Self {
 		e.replyTo(from, it.Ref, t, outcome{err: model.KindNotLead, execution: model.NotRun})
 		return
@@ -116,7 +125,7 @@
 // replyTo adds an outcome to the reply of this tick to an instance.
 func (e *Engine) replyTo(p int32, ref model.WorkRef, t int32, o outcome) {
 	r := model.RelayOutcome{Ref: ref, Error: o.err, Execution: o.execution, Answer: o.answer}
-	if int(t) < len(e.targets) && e.targets[t].lead.Self {
+	if t != none && e.targets[t].lead.Self {
 		r.QueueWait, r.Level = e.queueWait(t), e.targets[t].level
 	}
 	e.peers[p].replies = append(e.peers[p].replies, r)
--- a/core/query/search_test.go
+++ b/core/query/search_test.go
@@ -103,9 +103,11 @@
 		{"group taken out", func(s *sim) { s.takeOut("g00-0", "g00-1") }, 7, 1, 2, 0, 0, 0},
 		{"all taken out", func(s *sim) { s.takeOut("g00-0", "g00-1", "g01-0", "g01-1") }, 0, 0, 0, 0, 0, model.KindNoTarget},
 		{"replicas hold the same partition in two groups", func(s *sim) {
-			s.report("g01-0", held(7, 2, 1, 2))
-			s.report("g01-1", held(7, 2, 1, 2))
-		}, 7, 2, 2, 0, 0, 0},
+			s.report("g00-0", held(7, 3, 1, 2))
+			s.report("g00-1", held(7, 3, 1, 2))
+			s.report("g01-0", held(7, 3, 2))
+			s.report("g01-1", held(7, 3, 2))
+		}, 7, 2, 3, 0, 0, 0},
 		{"version retired at once", func(s *sim) {
 			s.report("g00-0", held(7, 2, 1))
 			s.after(time.Millisecond, func() { both(s, 3) })
@@ -170,6 +172,8 @@
 func TestLateAndRepeatedReplies(t *testing.T) {
 	s := newSim(2, 2, 2, 2, model.PolicyFull)
 	s.keep = true
+	sends := 0
+	s.onSend = func(*simNode, model.SendTarget) bool { sends++; return false }
 	s.targets["g00-0"].service = 300 * time.Millisecond
 	s.targets["g00-1"].service = 300 * time.Millisecond
 	s.onPeer = func(n *simNode, m model.SendPeer) bool {
@@ -190,8 +194,8 @@
 			cancels++
 		}
 	}
-	if cancels != 1 {
-		t.Errorf("%d cancellations, want 1", cancels)
+	if cancels != 1 || sends != 2 {
+		t.Errorf("%d cancellations and %d sends, want 1 and 2", cancels, sends)
 	}
 }
 
--- a/core/query/sim_test.go
+++ b/core/query/sim_test.go
@@ -40,6 +40,8 @@
 	changes view.Changes
 	report  view.Report
 	drained []view.Drained
+	flight  map[model.TargetID]int
+	over    string // the first send above the allowed work in flight
 	down    bool
 	paused  bool
 	wake    time.Duration
@@ -56,6 +58,7 @@
 
 // fakeView is a control plane that the test sets.
 type fakeView struct {
+	sim       *sim
 	set       *objects.Set
 	ready     view.Readiness
 	stopping  bool
@@ -75,6 +78,9 @@
 func (v *fakeView) Successor() model.InstanceID { return v.successor }
 func (v *fakeView) Lead(t model.TargetID) view.Lead {
 	l := view.Lead{Instance: v.leads[t], Address: "addr-" + string(v.leads[t]), Self: v.leads[t] == v.self}
+	if n := v.sim.node(l.Instance); n != nil {
+		l.Incarnation = n.life
+	}
 	l.Active = l.Self && !v.inactive[t]
 	return l
 }
@@ -163,6 +169,7 @@
 
 func (s *sim) addNode(id model.InstanceID, life model.Incarnation, policy model.Policy) *simNode {
 	v := &fakeView{
+		sim: s,
 		set: s.set, ready: view.Readiness{OK: true}, self: id,
 		leads: map[model.TargetID]model.InstanceID{}, inactive: map[model.TargetID]bool{},
 		info: map[model.TargetID]view.TargetInfo{}, out: map[model.TargetID]bool{},
@@ -171,7 +178,7 @@
 	for name, t := range s.targets {
 		v.info[name] = view.TargetInfo{Known: true, Incarnation: t.life, Level: t.slots, Versions: t.reports}
 	}
-	n := &simNode{s: s, id: id, life: life, v: v}
+	n := &simNode{s: s, id: id, life: life, v: v, flight: map[model.TargetID]int{}}
 	n.e = New(model.CoreConfig{
 		Self: id, Incarnation: life, Seed: 1, Policy: policy, FixedHedgeDelay: 10 * time.Millisecond,
 		BalancerDelay: 3 * time.Second, StopTimeout: 20 * time.Second,
@@ -255,6 +262,10 @@
 	switch o := o.(type) {
 	case model.SendTarget:
 		s.inFlight[o.Target]++
+		n.flight[o.Target]++
+		if t := &n.e.targets[n.e.targetIndex[o.Target]]; n.flight[o.Target] > t.level && !n.e.direct() {
+			n.over = fmt.Sprintf("%s has %d in flight at level %d", o.Target, n.flight[o.Target], t.level)
+		}
 		s.most[o.Target] = max(s.most[o.Target], s.inFlight[o.Target])
 		if s.onSend == nil || !s.onSend(n, o) {
 			s.serve(n, o)
@@ -316,7 +327,7 @@
 	}
 	r := model.TargetReply{
 		Work: o.Work, Execution: model.Ran, Latency: t.service,
-		Answer: model.TargetAnswer{Snapshot: o.Snapshot, Incarnation: t.life, Body: []byte(o.Target)},
+		Answer: model.TargetAnswer{Snapshot: o.Snapshot, Incarnation: t.life, Body: fmt.Append(nil, o.Snapshot)},
 	}
 	if v := findVersion(t.reports, o.Snapshot); v != nil {
 		r.Answer.Partitions = v.Partitions
@@ -326,6 +337,7 @@
 
 func (s *sim) reply(n *simNode, o model.SendTarget, r model.TargetReply) {
 	s.inFlight[o.Target]--
+	n.flight[o.Target]--
 	r.Work = o.Work
 	n.step(r)
 }
@@ -337,6 +349,9 @@
 func (n *simNode) ids(count int) []model.BookingID {
 	n.step(model.IssueBookingIDs{Call: 1 << 40, Count: count})
 	a := n.s.answers[1<<40]
+	if len(a) == 0 {
+		return nil // paused
+	}
 	return a[len(a)-1].(model.BookingIDs).IDs
 }
 
--- a/core/query/topology.go
+++ b/core/query/topology.go
@@ -168,8 +168,8 @@
 			t.leadPeer = e.peer(lead.Instance)
 		}
 	}
-	if t.leadPeer != none && lead.Address != "" {
-		e.peers[t.leadPeer].address = lead.Address
+	if t.leadPeer != none {
+		e.peers[t.leadPeer].address, e.peers[t.leadPeer].life = lead.Address, lead.Incarnation
 	}
 	if before.Self != lead.Self {
 		e.leadChanged(i)
