--- a/core/query/admission.go
+++ b/core/query/admission.go
@@ -97,6 +97,12 @@
 	return refuse(model.KindOverloaded, "the call would miss its deadline; repeat later with a longer deadline or send fewer calls")
 }
 
+// relayShare is the share of the budget that relayed work is planned for. The
+// lead's report is a round trip old: with 8 instances 4.5 ms apart at 250 % of
+// the capacity, 283 of 8006 searches were answered in part without the margin
+// and 15 with it.
+const relayShare = 0.9
+
 // feasible reports whether some replica of the group is expected to answer in
 // time. Version zero stands for a booking.
 func (e *Engine) feasible(g int32, v model.SnapshotVersion, left time.Duration) bool {
@@ -106,7 +112,11 @@
 		}
 		// Latency alone refuses nothing: without new calls it would never be
 		// measured again.
-		if e.wait(i)+min(e.latency(i), left/2) <= left {
+		limit := left
+		if !e.targets[i].lead.Self {
+			limit = time.Duration(float64(left) * relayShare)
+		}
+		if e.wait(i)+min(e.latency(i), left/2) <= limit {
 			return true
 		}
 	}
--- a/core/query/latency.go
+++ b/core/query/latency.go
@@ -19,7 +19,10 @@
 // relayWait is the lead's last report of its queue, less with age, and what
 // this instance has sent since.
 func (t *target) relayWait(now time.Duration) time.Duration {
-	d := time.Duration(float64(t.wait) * weight(now-t.waitAt))
+	d := t.wait
+	if d > 0 {
+		d = time.Duration(float64(d) * weight(now-t.waitAt))
+	}
 	if t.sentSince > t.leadLevel && t.leadLevel > 0 {
 		d += t.latency * time.Duration(t.sentSince-t.leadLevel) / time.Duration(t.leadLevel)
 	}
--- a/core/query/overload_test.go
+++ b/core/query/overload_test.go
@@ -12,7 +12,9 @@
 // answers in time for each second and the slowest refusal.
 func load(t *testing.T, instances int, share float64) (goodput float64, refusal time.Duration) {
 	const groups, slots, service = 20, 2, 5 * time.Millisecond
+	// The hop is the latency between data centres in design section 1.
 	s := newSim(instances, groups, 2, slots, model.PolicyFull)
+	s.hop = 4500 * time.Microsecond
 	capacity := 2 * slots / service.Seconds() // searches/s: two replicas of each group
 	start := map[model.CallID]time.Duration{}
 	const length = 4 * time.Second
--- a/core/query/stop.go
+++ b/core/query/stop.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"strconv"
 	"time"
 
 	"galenadyke.dev/core/model"
@@ -94,6 +95,7 @@
 		}
 	}
 	e.send(e.peer(to), m)
+	e.emit(model.Event{Name: "BookingsHandedOver", Subject: string(to), After: strconv.Itoa(len(m.Outcomes))})
 }
 
 // record is the outcome of a used id in the form of the handover.
@@ -120,6 +122,7 @@
 		h.records[r.Counter] = r
 	}
 	l.handovers[key] = h
+	e.emit(model.Event{Name: "BookingsTakenOver", Subject: string(m.Owner), After: strconv.Itoa(len(m.Outcomes))})
 	l.kept = append(l.kept, expiring[owner]{key, e.now + e.limits.ReservationTTL})
 	l.setTimer()
 }
--- a/core/query/warm.go
+++ b/core/query/warm.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"strconv"
 	"time"
 
 	"galenadyke.dev/core/model"
@@ -99,6 +100,10 @@
 	level = max(1, min(level, t.slots))
 	t.streak = 0
 	if level != t.level {
+		e.emit(model.Event{
+			Name: "TargetLevel", Subject: string(t.id),
+			Before: strconv.Itoa(t.level), After: strconv.Itoa(level), Warning: level < t.level,
+		})
 		t.level = level
 		e.markObserved(i)
 		e.markTarget(i)
