query: spread the hedge budget and settle late bookings as not run

Hedges: one in twenty sub-requests passes the 95th percentile, but the budget covers one in fifty, so ordinary latencies used it up. The delay now grows to three times the percentile as the budget is used.

Bookings: a lead gets the budget less the reserve, so that its "not run" for a queued booking is back before the owner must say "unknown"; the owner does not start another attempt after that; and a booking that is due together with its call is settled first.

A set with zero limits, as tests may build it, gets the default limits.

--- a/core/query/booking.go
+++ b/core/query/booking.go
@@ -220,6 +220,9 @@
 		e.finishBooking(a.booking, bookResult{err: orUnknown(o.err), execution: model.Unknown, message: msgUnknown})
 	case !b.running:
 		e.finishBooking(a.booking, bookResult{err: o.err, execution: model.NotRun, message: msgNotRun})
+	case o.err == model.KindDeadline:
+		// Another attempt so late would end as "unknown".
+		e.failBooking(a.booking, o.err)
 	default:
 		b.failure = o.err
 		if o.err == model.KindNotLead && t.lead.Instance != a.lead {
--- a/core/query/booking_test.go
+++ b/core/query/booking_test.go
@@ -22,15 +22,25 @@
 	s := newSim(3, 1, 2, 2, model.PolicyFull)
 	r := &rig{sim: s, a: s.nodes[0], b: s.nodes[1], c: s.nodes[2]}
 	for _, n := range s.nodes {
-		for _, t := range []model.TargetID{"desk-0", "desk-1", "desk-2"} {
+		for _, t := range desks {
 			n.v.leads[t] = "c"
 		}
-		n.change("desk-0", "desk-1", "desk-2")
+		n.change(desks...)
 	}
 	r.id = r.a.ids(1)[0]
 	return r
 }
 
+var desks = []model.TargetID{"desk-0", "desk-1", "desk-2"}
+
+// idle keeps the handover of the targets to an instance from ending.
+func (r *rig) idle(n *simNode) {
+	for _, id := range desks {
+		n.v.inactive[id] = true
+	}
+	n.change(desks...)
+}
+
 // firstSend replaces what happens to the first SendTarget.
 func (r *rig) firstSend(f func(n *simNode, o model.SendTarget)) {
 	r.onSend = func(n *simNode, o model.SendTarget) bool {
@@ -143,10 +153,7 @@
 		{name: "relay outcome repeated", fault: func(r *rig) { r.twice(is[model.RelayReply]) },
 			first: ran, runs: 1, repeat: ran},
 		{name: "lead dies before the write", fault: func(r *rig) {
-			for _, id := range []model.TargetID{"desk-0", "desk-1", "desk-2"} {
-				r.c.v.inactive[id] = true
-			}
-			r.c.change("desk-0", "desk-1", "desk-2")
+			r.idle(r.c)
 			r.dies(r.c, 50*time.Millisecond)
 		}, first: unknown, runs: 0, repeat: unknown},
 		{name: "lead dies after the write", fault: func(r *rig) { r.dies(r.c, 4*time.Millisecond) },
@@ -161,32 +168,35 @@
 			})
 		}, first: unknown, runs: 0, repeat: notRun},
 		{name: "lead pauses with the booking queued", fault: func(r *rig) {
-			for _, id := range []model.TargetID{"desk-0", "desk-1", "desk-2"} {
-				r.c.v.inactive[id] = true
-			}
-			r.c.change("desk-0", "desk-1", "desk-2")
+			r.idle(r.c)
 			r.after(50*time.Millisecond, func() { r.c.paused = true })
 			r.after(1200*time.Millisecond, func() {
 				r.c.v.inactive = map[model.TargetID]bool{}
 				r.c.paused = false
-				r.c.change("desk-0", "desk-1", "desk-2")
+				r.c.change(desks...)
 			})
 		}, first: unknown, runs: 0, repeat: notRun},
+		{name: "lead never becomes active", fault: func(r *rig) { r.idle(r.c) },
+			first: notRun, runs: 0, repeat: notRun},
+		{name: "owner leads and never becomes active", fault: func(r *rig) {
+			for _, id := range desks {
+				r.a.v.leads[id] = "a"
+			}
+			r.idle(r.a)
+			r.b = r.a
+		}, first: notRun, runs: 0, repeat: notRun},
 		{name: "asked instance does not lead", fault: func(r *rig) {
 			r.c.v.leads = map[model.TargetID]model.InstanceID{"desk-0": "b", "desk-1": "b", "desk-2": "b"}
-			r.c.change("desk-0", "desk-1", "desk-2")
+			r.c.change(desks...)
 		}, first: notRun, runs: 0, repeat: notRun},
 		{name: "lead moves while queued", fault: func(r *rig) {
-			for _, id := range []model.TargetID{"desk-0", "desk-1", "desk-2"} {
-				r.c.v.inactive[id] = true
-			}
-			r.c.change("desk-0", "desk-1", "desk-2")
+			r.idle(r.c)
 			r.after(50*time.Millisecond, func() {
 				for _, n := range r.nodes {
 					n.v.leads["desk-0"], n.v.leads["desk-1"], n.v.leads["desk-2"] = "b", "b", "b"
 				}
 				for _, n := range r.nodes {
-					n.change("desk-0", "desk-1", "desk-2")
+					n.change(desks...)
 				}
 			})
 		}, first: ran, runs: 1, repeat: ran},
@@ -217,7 +227,7 @@
 		{name: "targets taken out", fault: func(r *rig) {
 			for _, n := range r.nodes {
 				n.v.out["desk-0"], n.v.out["desk-1"], n.v.out["desk-2"] = true, true, true
-				n.change("desk-0", "desk-1", "desk-2")
+				n.change(desks...)
 			}
 		}, first: notRun, runs: 0, repeat: notRun},
 	}
--- a/core/query/budget.go
+++ b/core/query/budget.go
@@ -27,6 +27,9 @@
 }
 
 func (e *Engine) setLimits(l objects.Limits) {
+	if l == (objects.Limits{}) {
+		l = objects.DefaultLimits()
+	}
 	e.limits = l
 	e.hedges.share, e.hedges.burst = l.HedgeShare, hedgeBurst
 	e.retries.share, e.retries.burst = l.RetryShare, retryBurst
--- a/core/query/forward.go
+++ b/core/query/forward.go
@@ -169,6 +169,16 @@
 
 // bookCallDeadline answers a booking call whose outcome has not arrived.
 func (e *Engine) bookCallDeadline(i int32) {
+	b := &e.calls.at(i).booking
+	if ownerOf(b.id) == e.owner() {
+		// The booking may be due at the same time and know that it has not run.
+		if k, ok := e.bookings.index[b.id.Counter]; ok && e.bookings.all.at(k).deadline <= e.now {
+			e.bookingDeadline(k)
+			if !b.active {
+				return
+			}
+		}
+	}
 	e.answerBook(i, bookResult{err: model.KindDeadline, execution: model.Unknown, message: msgUnknown})
 }
 
--- a/core/query/hedge.go
+++ b/core/query/hedge.go
@@ -6,6 +6,12 @@
 	"galenadyke.dev/core/model"
 )
 
+// hedgeStretch is by how much of the 95th percentile the delay grows as the
+// budget is used up. One in twenty sub-requests passes the percentile, but the
+// budget covers one in fifty: without it ordinary latencies use the budget up
+// and nothing is left for stragglers.
+const hedgeStretch = 2
+
 // hedgeDelay is the time after which a second replica of the group is asked.
 func (e *Engine) hedgeDelay(g int32) time.Duration {
 	switch e.cfg.Policy {
@@ -22,7 +28,8 @@
 		// Nothing is known of the group yet.
 		return model.NoWake / 2
 	}
-	return max(p95, e.limits.HedgeFloor)
+	used := 1 - e.hedges.tokens/e.hedges.burst
+	return max(p95+time.Duration(float64(p95)*hedgeStretch*used), e.limits.HedgeFloor)
 }
 
 // hedge asks a second replica for each group whose delay has passed.
--- a/core/query/relay.go
+++ b/core/query/relay.go
@@ -19,10 +19,15 @@
 }
 
 func (e *Engine) flushRequest(r request) {
+	budget := r.deadline - e.now
+	if r.booking != "" {
+		// Leaves the lead time to say that a queued booking has not run.
+		budget -= e.reserve(budget)
+	}
 	for _, i := range e.relayed {
 		p := &e.peers[i]
 		e.send(i, model.RelayRequest{
-			Lead: p.life, BookingID: r.booking, Snapshot: r.snapshot, Budget: r.deadline - e.now,
+			Lead: p.life, BookingID: r.booking, Snapshot: r.snapshot, Budget: budget,
 			RequestID: r.requestID, Body: r.body, Trace: r.trace, Items: slices.Clone(p.items),
 		})
 		clear(p.items)
