query: look only at the parts of a search that changed

Each reply scanned all groups of its search, twice. The search now keeps a list of changed parts and the time of its next hedge. A lead that gets a target back before its last work ended takes the lower of its own and the published level.

--- a/core/query/attempt.go
+++ b/core/query/attempt.go
@@ -136,6 +136,7 @@
 	if o.err == model.KindNone {
 		o.err = e.checkAnswer(c, &a, &o.answer)
 	}
+	c.search.changed = append(c.search.changed, a.part)
 	e.markCall(a.call)
 	if p.state != partOpen {
 		return
--- a/core/query/bench_test.go
+++ b/core/query/bench_test.go
@@ -10,8 +10,8 @@
 )
 
 // BenchmarkSearch measures a whole search at the entry: admission, all
-// sub-requests, their answers and the answer of the call. The cost is given
-// for each sub-request.
+// sub-requests, a tick for each reply, and the answer of the call. The cost is
+// given for each sub-request, the making of the replies included.
 func BenchmarkSearch(b *testing.B) {
 	for _, groups := range []int{20, 30, 85} {
 		for _, mode := range []string{"own", "relay"} {
@@ -22,6 +22,7 @@
 
 func benchSearch(b *testing.B, groups int, relay bool) {
 	s := newSim(2, groups, 2, 8, model.PolicyFull)
+	s.set.Limits.HedgeFloor = 20 * time.Millisecond // all answers come before
 	v := s.nodes[0].v
 	for id := range v.leads {
 		if !relay {
@@ -46,6 +47,14 @@
 	}
 	part := func(t model.TargetID) []uint32 { return partitions[int(t[1]-'0')*10+int(t[2]-'0')+1] }
 	var sent []model.Output
+	var last model.Output
+	reply := func(in model.Input) {
+		e.Step(in)
+		tick(view.Changes{})
+		if len(out) > 0 {
+			last = out[len(out)-1]
+		}
+	}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		e.Step(model.SearchCall{Call: model.CallID(i), Route: "search", Budget: callBudget, Body: body})
@@ -55,21 +64,20 @@
 		for _, o := range sent {
 			switch o := o.(type) {
 			case model.SendTarget:
-				e.Step(model.TargetReply{Work: o.Work, Execution: model.Ran, Latency: 5 * time.Millisecond,
+				reply(model.TargetReply{Work: o.Work, Execution: model.Ran, Latency: 5 * time.Millisecond,
 					Answer: model.TargetAnswer{Snapshot: 7, Partitions: part(o.Target), Incarnation: 1, Body: body}})
 			case model.SendPeer:
 				m := o.Message.(model.RelayRequest)
-				reply := model.RelayReply{Items: make([]model.RelayOutcome, 0, len(m.Items))}
+				answer := model.RelayReply{Items: make([]model.RelayOutcome, 0, len(m.Items))}
 				for _, it := range m.Items {
-					reply.Items = append(reply.Items, model.RelayOutcome{Ref: it.Ref, Execution: model.Ran, Level: 8,
+					answer.Items = append(answer.Items, model.RelayOutcome{Ref: it.Ref, Execution: model.Ran, Level: 8,
 						Answer: model.TargetAnswer{Snapshot: 7, Partitions: part(it.Target), Incarnation: 1, Body: body}})
 				}
-				e.Step(model.PeerInput{From: o.To, Incarnation: 1, Message: reply})
+				reply(model.PeerInput{From: o.To, Incarnation: 1, Message: answer})
 			}
 		}
-		tick(view.Changes{})
-		if a, ok := out[len(out)-1].(model.SearchAnswer); !ok || a.Searched != groups {
-			b.Fatalf("%+v", out)
+		if a, ok := last.(model.SearchAnswer); !ok || a.Searched != groups {
+			b.Fatalf("%+v", last)
 		}
 	}
 	subs := float64(b.N * groups)
--- a/core/query/call.go
+++ b/core/query/call.go
@@ -32,7 +32,9 @@
 	snapshot   model.SnapshotVersion
 	total      int
 	parts      []part
-	open       int // parts without an answer that may still get one
+	open       int           // parts without an answer that may still get one
+	changed    []int32       // parts to look at
+	hedgeAt    time.Duration // earliest time at which a hedge may be due
 	mayHaveRun bool
 	failure    model.Kind // last failure, for the error if nothing was found
 	stats      model.CallStats
@@ -86,7 +88,7 @@
 
 func (e *Engine) newCall(id model.CallID, requestID, trace string, body []byte, budget time.Duration) (int32, *call) {
 	i, c := e.calls.alloc()
-	parts := c.search.parts
+	parts, changed := c.search.parts, c.search.changed
 	*c = call{
 		id: id, requestID: requestID, trace: trace, body: body,
 		arrived: e.now, budget: budget,
@@ -94,7 +96,7 @@
 		timer:    e.timers.create(timerCall, i),
 		route:    none,
 	}
-	c.search.parts = parts[:0]
+	c.search.parts, c.search.changed = parts[:0], changed[:0]
 	c.booking.reset()
 	e.callIndex[id] = i
 	e.timers.set(c.timer, c.deadline)
@@ -106,6 +108,7 @@
 	choice := e.choose(c.route)
 	s := &c.search
 	s.snapshot, s.total, s.open = choice.version, choice.total, 0
+	s.changed, s.hedgeAt = s.changed[:0], model.NoWake
 	groups := e.routes[c.route].groups
 	s.parts = slices.Grow(s.parts[:0], len(groups))[:len(groups)]
 	for k, g := range groups {
@@ -115,6 +118,7 @@
 			p.state = partMissing
 		} else {
 			s.open++
+			s.changed = append(s.changed, int32(k))
 		}
 	}
 }
@@ -140,17 +144,20 @@
 	if e.restartIfGone(i) {
 		return
 	}
-	for k := range c.search.parts {
-		if p := &c.search.parts[k]; p.state == partOpen && p.pending == 0 {
-			e.sendPart(i, int32(k))
+	// Work that is given back at once appends to the list.
+	for k := 0; k < len(c.search.changed); k++ {
+		part := c.search.changed[k]
+		if p := &c.search.parts[part]; p.state == partOpen && p.pending == 0 {
+			e.sendPart(i, part)
 		}
 	}
+	c.search.changed = c.search.changed[:0]
 	e.flushRelays(c)
 	if c.search.open == 0 {
 		e.answerSearch(i)
 		return
 	}
-	e.setCallTimer(c)
+	e.timers.set(c.timer, min(c.deadline, c.search.hedgeAt))
 }
 
 // sendPart asks a replica of a group that has no attempt in progress.
@@ -178,6 +185,7 @@
 	}
 	p.asked = true
 	p.hedgeAt = e.now + e.hedgeDelay(p.group)
+	c.search.hedgeAt = min(c.search.hedgeAt, p.hedgeAt)
 	e.startSearchAttempt(i, k, t, false)
 }
 
@@ -195,22 +203,11 @@
 	case e.now >= c.deadline:
 		e.answerSearch(i)
 	default:
-		e.hedge(i)
-		e.setCallTimer(c)
+		c.search.hedgeAt = e.hedge(i)
+		e.timers.set(c.timer, min(c.deadline, c.search.hedgeAt))
 	}
 }
 
-// setCallTimer sets the timer to the deadline or the next hedge.
-func (e *Engine) setCallTimer(c *call) {
-	at := c.deadline
-	for k := range c.search.parts {
-		if p := &c.search.parts[k]; p.state == partOpen && p.pending == 1 && !p.hedged && p.hedgeAt < at {
-			at = p.hedgeAt
-		}
-	}
-	e.timers.set(c.timer, at)
-}
-
 // answerSearch ends a search with whatever has arrived.
 func (e *Engine) answerSearch(i int32) {
 	c := e.calls.at(i)
@@ -271,13 +268,13 @@
 	c := e.calls.at(i)
 	delete(e.callIndex, c.id)
 	e.timers.remove(c.timer)
-	parts := c.search.parts
+	parts, changed := c.search.parts, c.search.changed
 	for k := range parts {
 		p := &parts[k]
 		*p = part{tried: p.tried[:0]}
 	}
 	*c = call{}
-	c.search.parts = parts[:0]
+	c.search.parts, c.search.changed = parts[:0], changed[:0]
 	e.calls.release(i)
 }
 
--- a/core/query/hedge.go
+++ b/core/query/hedge.go
@@ -32,12 +32,18 @@
 	return max(p95+time.Duration(float64(p95)*hedgeStretch*used), e.limits.HedgeFloor)
 }
 
-// hedge asks a second replica for each group whose delay has passed.
-func (e *Engine) hedge(i int32) {
+// hedge asks a second replica for each group whose delay has passed. It
+// returns the time at which the next hedge may be due.
+func (e *Engine) hedge(i int32) time.Duration {
 	c := e.calls.at(i)
+	next := model.NoWake
 	for k := range c.search.parts {
 		p := &c.search.parts[k]
-		if p.state != partOpen || p.pending != 1 || p.hedged || e.now < p.hedgeAt {
+		if p.state != partOpen || p.pending != 1 || p.hedged {
+			continue
+		}
+		if e.now < p.hedgeAt {
+			next = min(next, p.hedgeAt)
 			continue
 		}
 		p.hedged = true
@@ -49,6 +55,7 @@
 		e.startSearchAttempt(i, int32(k), t, true)
 	}
 	e.flushRelays(c)
+	return next
 }
 
 // hedgeHelps reports whether the second replica can answer before the deadline.
--- a/core/query/snapshot.go
+++ b/core/query/snapshot.go
@@ -126,7 +126,7 @@
 	if c.arrived+c.budget-e.now < c.budget/2 {
 		return false
 	}
-	for k := range s.parts {
+	for _, k := range s.changed {
 		p := &s.parts[k]
 		if p.state != partOpen || !p.asked || p.pending > 0 || e.groupServes(p.group, s.snapshot) {
 			continue
--- a/core/query/warm.go
+++ b/core/query/warm.go
@@ -50,8 +50,12 @@
 		return
 	}
 	if t.draining {
-		// Led again before the last work ended: what was learned still holds.
+		// Led again before the last work ended: what was learned still holds,
+		// but the lead in between may have seen the target fall back.
 		t.draining = false
+		if t.info.Level > 0 {
+			e.setLevel(i, min(t.level, t.info.Level))
+		}
 		return
 	}
 	t.level, t.streak, t.slow, t.foreign, t.service = 1, 0, 0, 0, 0
