query: forget lost requests in the wait at a lead

An entry counted requests since the last report of a lead. When relays were lost for a second, the count only rose, every search was refused as overloaded, and no new report could correct it. Requests now count while they are in progress. TestLostRelays fails without the change (refusals 500 ms after the network healed) and passes with it.

A group's 95th percentile is known from 4 samples on instead of 16.

--- a/core/query/attempt.go
+++ b/core/query/attempt.go
@@ -113,6 +113,9 @@
 	}
 	if a.peer != none {
 		e.unlinkPeer(id)
+		if t := &e.targets[a.target]; t.sentSince > 0 && a.sent > t.waitAt {
+			t.sentSince--
+		}
 	}
 	*a = attempt{}
 	e.attempts.release(id)
--- a/core/query/latency.go
+++ b/core/query/latency.go
@@ -70,7 +70,8 @@
 
 const (
 	quantileSamples = 64
-	quantileRefresh = 16 // samples between two computations
+	quantileFirst   = 4  // samples before the first computation
+	quantileRefresh = 16 // most samples between two computations
 	hedgeQuantile   = 95 // per cent
 )
 
@@ -93,7 +94,7 @@
 		q.next = (q.next + 1) % quantileSamples
 	}
 	q.added++
-	if q.added < quantileRefresh {
+	if n := len(q.recent); n < quantileFirst || q.added < min(quantileRefresh, n/2) {
 		return
 	}
 	q.added = 0
--- a/core/query/search_test.go
+++ b/core/query/search_test.go
@@ -267,3 +267,22 @@
 		t.Errorf("booking: %v", a.Error)
 	}
 }
+
+// Guards against an entry that refuses for ever because requests that were
+// lost on the way still count as waiting at their leads.
+func TestLostRelays(t *testing.T) {
+	s := newSim(3, 2, 2, 1, model.PolicyFull)
+	cut := false
+	s.onPeer = func(*simNode, model.SendPeer) bool { return cut }
+	for k := range 400 {
+		s.after(time.Duration(k)*10*time.Millisecond, func() { s.nodes[0].search(model.CallID(k), callBudget) })
+	}
+	s.after(time.Second, func() { cut = true })
+	s.after(2*time.Second, func() { cut = false })
+	s.run(5 * time.Second)
+	for k := 250; k < 400; k++ {
+		if a := searchOf(t, s, model.CallID(k)); a.Searched != 2 {
+			t.Fatalf("%v after the start: %v, %+v", time.Duration(k)*10*time.Millisecond, a.Error, a)
+		}
+	}
+}
--- a/core/query/stop.go
+++ b/core/query/stop.go
@@ -79,7 +79,7 @@
 func (e *Engine) handOver() {
 	l := &e.bookings
 	to := e.view.Successor()
-	if to == "" || l.issued == 0 {
+	if to == "" || to == e.cfg.Self || l.issued == 0 {
 		return
 	}
 	m := model.BookingHandover{Owner: e.cfg.Self, Incarnation: e.cfg.Incarnation, Issued: l.issued, First: l.issued + 1}
--- a/core/query/topology.go
+++ b/core/query/topology.go
@@ -194,7 +194,7 @@
 	wait        time.Duration // last report of the lead
 	waitAt      time.Duration
 	leadLevel   int
-	sentSince   int                   // sub-requests since that report
+	sentSince   int                   // sub-requests in progress that were sent after that report
 	goneVersion model.SnapshotVersion // refused lately, with all older ones
 	goneUntil   time.Duration
 }
