--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -25,22 +25,59 @@
 	return s.answers[c][0].(model.BookAnswer)
 }
 
-// Guards against a search or booking that does not reach its targets, as own
-// lead and by relay.
-func TestEndToEnd(t *testing.T) {
-	for _, instances := range []int{1, 3} {
-		s := newSim(instances, 4, 2, 2, model.PolicyFull)
-		s.nodes[0].search(1, callBudget)
-		s.run(callBudget)
-		a := searchOf(t, s, 1)
-		if a.Error != nil || a.Searched != 4 || a.Total != 4 || len(a.Parts) != 4 || a.Snapshot != 7 {
-			t.Errorf("%d instances: %+v", instances, a)
+// Guards against outcomes for an earlier life that end the work of this one,
+// and against work ids that repeat after a restart.
+func TestRestartedEntry(t *testing.T) {
+	s := newSim(2, 2, 2, 2, model.PolicyFull)
+	var late []func()
+	works := map[model.WorkID]bool{}
+	s.onSend = func(_ *simNode, o model.SendTarget) bool {
+		if works[o.Work] {
+			t.Errorf("work id %d repeats", o.Work)
 		}
-		id := s.nodes[0].ids(1)[0]
-		s.nodes[len(s.nodes)-1].book(2, id, time.Second)
-		s.run(time.Second)
-		if b := bookOf(t, s, 2); b.Error != nil || s.ran[id.String()] != 1 {
-			t.Errorf("%d instances: %+v ran %d times", instances, b, s.ran[id.String()])
+		works[o.Work] = true
+		return false
+	}
+	s.onPeer = func(n *simNode, m model.SendPeer) bool {
+		r, ok := m.Message.(model.RelayReply)
+		if ok && len(late) == 0 {
+			r.Items[0].Error = model.KindTargetShed
+			m.Message = r
+			late = append(late, func() { s.deliver(n, m) })
+			return true
 		}
+		return false
+	}
+	s.nodes[0].search(1, callBudget)
+	s.run(20 * time.Millisecond)
+	s.nodes[0].down = true
+	a := s.addNode("a", 2, model.PolicyFull)
+	a.v.leads = s.nodes[0].v.leads
+	a.tick()
+	a.search(2, callBudget)
+	late[0]()
+	s.run(time.Second)
+	if x := searchOf(t, s, 2); x.Searched != 2 || x.Stats.Retries > 0 {
+		t.Errorf("%+v", x)
+	}
+}
+
+// Guards against more retries than their share of the sub-requests when every
+// target refuses.
+func TestRetryBudget(t *testing.T) {
+	s := newSim(1, 10, 2, 2, model.PolicyFull)
+	s.edit(func(_ model.SendTarget, r *model.TargetReply) bool {
+		*r = model.TargetReply{Error: model.KindTargetShed, Execution: notRun}
+		return true
+	})
+	sum := model.CallStats{}
+	for k := range 100 {
+		s.nodes[0].search(model.CallID(k), callBudget)
+		s.run(30 * time.Millisecond)
+		x := searchOf(t, s, model.CallID(k)).Stats
+		sum.SubRequests, sum.Retries = sum.SubRequests+x.SubRequests, sum.Retries+x.Retries
+	}
+	if limit := sum.SubRequests/10 + retryBurst; sum.Retries < retryBurst || sum.Retries > limit {
+		t.Errorf("%d retries of %d sub-requests, at most %d allowed", sum.Retries, sum.SubRequests, limit)
 	}
 }
--- a/core/query/sim_test.go
+++ b/core/query/sim_test.go
@@ -41,6 +41,7 @@
 	report  view.Report
 	drained []view.Drained
 	flight  map[model.TargetID]int
+	open    map[model.WorkID]model.SendTarget
 	over    string // the first send above the allowed work in flight
 	down    bool
 	paused  bool
@@ -178,7 +179,7 @@
 	for name, t := range s.targets {
 		v.info[name] = view.TargetInfo{Known: true, Incarnation: t.life, Level: t.slots, Versions: t.reports}
 	}
-	n := &simNode{s: s, id: id, life: life, v: v, flight: map[model.TargetID]int{}}
+	n := &simNode{s: s, id: id, life: life, v: v, flight: map[model.TargetID]int{}, open: map[model.WorkID]model.SendTarget{}}
 	n.e = New(model.CoreConfig{
 		Self: id, Incarnation: life, Seed: 1, Policy: policy, FixedHedgeDelay: 10 * time.Millisecond,
 		BalancerDelay: 3 * time.Second, StopTimeout: 20 * time.Second,
@@ -263,6 +264,7 @@
 	case model.SendTarget:
 		s.inFlight[o.Target]++
 		n.flight[o.Target]++
+		n.open[o.Work] = o
 		if t := &n.e.targets[n.e.targetIndex[o.Target]]; n.flight[o.Target] > t.level && !n.e.direct() {
 			n.over = fmt.Sprintf("%s has %d in flight at level %d", o.Target, n.flight[o.Target], t.level)
 		}
@@ -270,6 +272,10 @@
 		if s.onSend == nil || !s.onSend(n, o) {
 			s.serve(n, o)
 		}
+	case model.CancelTarget:
+		if w, ok := n.open[o.Work]; ok {
+			s.after(0, func() { s.reply(n, w, model.TargetReply{Error: model.KindCancelled}) })
+		}
 	case model.SendPeer:
 		if s.onPeer != nil && s.onPeer(n, o) {
 			return
@@ -336,6 +342,10 @@
 }
 
 func (s *sim) reply(n *simNode, o model.SendTarget, r model.TargetReply) {
+	if _, ok := n.open[o.Work]; !ok {
+		return // cancelled before
+	}
+	delete(n.open, o.Work)
 	s.inFlight[o.Target]--
 	n.flight[o.Target]--
 	r.Work = o.Work
--- a/core/query/warm_test.go
+++ b/core/query/warm_test.go
@@ -54,6 +54,11 @@
 			s.replies(n, 7, ok(time.Millisecond, 1))
 		}, 1},
 		{"reset", 4, func(s *sim, n *simNode) { s.replies(n, 1, fail(model.KindTargetConnection, true)) }, 1},
+		{"cancelled", 1, func(s *sim, n *simNode) {
+			s.replies(n, 7, ok(time.Millisecond, 1))
+			s.replies(n, 1, fail(model.KindCancelled, false))
+			s.replies(n, 1, ok(time.Millisecond, 1))
+		}, 2},
 		{"shed", 4, func(s *sim, n *simNode) { s.replies(n, 1, fail(model.KindTargetShed, false)) }, 2},
 		{"restart in a reply", 4, func(s *sim, n *simNode) { s.replies(n, 1, ok(time.Millisecond, 2)) }, 1},
 		{"answers of an earlier life", 4, func(s *sim, n *simNode) {
