query: call a search unknown if a sub-request has no outcome yet

Cause: a search that ended at its deadline, by a restart or by cancellation dropped the attempts in progress without noting that they may have run, so that an answer without any part said not_run although a target ran it. Change: an attempt that was relayed or is in flight at the target counts as may have run when it is given up. Work in the own queue still does not.

--- a/core/query/attempt.go
+++ b/core/query/attempt.go
@@ -173,11 +173,14 @@
 }
 
 // cancelPart ends the attempts that are still in progress at the lead and at
-// the target. Their outcomes are not awaited.
+// the target. Their outcomes are not awaited: those that have left may have run.
 func (e *Engine) cancelPart(p *part) {
 	for p.attempts != none {
 		id := p.attempts
 		a := e.attempts.at(id)
+		if a.work == none || e.works.at(a.work).inFlight {
+			e.calls.at(a.call).search.mayHaveRun = true
+		}
 		e.abandoned(a)
 		if a.work != none {
 			e.cancelWork(a.work)
