fleet: tell the successor of any instance and the incarnation of a lead

The data plane asks for both: calls for booking ids of a stopped owner go to the member that took its ids over, and a relayed booking names the life of the lead that it is meant for. SuccessorOf ranks as Successor does, with the owner's name in the key.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -263,7 +263,7 @@
 	}
 	self := t.lead == f.self
 	return view.Lead{
-		Instance: t.lead.id, Address: t.lead.address, Self: self,
+		Instance: t.lead.id, Address: t.lead.address, Incarnation: t.lead.incarnation, Self: self,
 		Active: self && t.hold == holdActive && f.ready.OK,
 	}
 }
@@ -296,12 +296,15 @@
 }
 
 // Successor implements view.View.
-func (f *Fleet) Successor() model.InstanceID {
-	key := rank.Hash("booking:" + string(f.cfg.Self))
+func (f *Fleet) Successor() model.InstanceID { return f.SuccessorOf(f.cfg.Self) }
+
+// SuccessorOf implements view.Successors.
+func (f *Fleet) SuccessorOf(id model.InstanceID) model.InstanceID {
+	key := rank.Hash("booking:" + string(id))
 	var best *member
 	var bestScore uint64
 	for _, m := range f.eligible {
-		if m == f.self {
+		if m.id == id {
 			continue
 		}
 		score := rank.Score(key, m.hash)
