query: refuse new calls as soon as the view says stopping

A relayed booking takes the lead's incarnation from the view when it is sent, since a restart of a lead does not change the lead.

--- a/core/query/peer.go
+++ b/core/query/peer.go
@@ -13,9 +13,8 @@
 type peer struct {
 	id       model.InstanceID
 	address  string
-	life     model.Incarnation // zero if not known
-	attempts int32             // list of attempts relayed to this instance
-	forwards int32             // list of calls forwarded to this instance
+	attempts int32 // list of attempts relayed to this instance
+	forwards int32 // list of calls forwarded to this instance
 
 	flushing bool
 	items    []model.RelayItem // of the call that is being sent
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -65,7 +65,6 @@
 	e.topology.init()
 	e.peerTable.init()
 	e.bookings.init(&e.timers)
-	e.stop.timer = e.timers.create(timerStop, none)
 	e.setLimits(e.limits)
 	e.hedges.fill()
 	e.retries.fill()
@@ -149,7 +148,6 @@
 			e.bookingDeadline(t.owner)
 		case timerReservations:
 			e.expireBookings()
-		case timerStop:
 		}
 	}
 }
--- a/core/query/relay.go
+++ b/core/query/relay.go
@@ -26,8 +26,12 @@
 	}
 	for _, i := range e.relayed {
 		p := &e.peers[i]
+		var life model.Incarnation
+		if r.booking != "" {
+			life = e.view.Lead(p.items[0].Target).Incarnation
+		}
 		e.send(i, model.RelayRequest{
-			Lead: p.life, BookingID: r.booking, Snapshot: r.snapshot, Budget: budget,
+			Lead: life, BookingID: r.booking, Snapshot: r.snapshot, Budget: budget,
 			RequestID: r.requestID, Body: r.body, Trace: r.trace, Items: slices.Clone(p.items),
 		})
 		clear(p.items)
--- a/core/query/stop.go
+++ b/core/query/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"galenadyke.dev/core/model"
 	"galenadyke.dev/core/view"
@@ -10,33 +9,16 @@
 
 // stop is the progress of a graceful stop on the side of the data plane.
 type stop struct {
-	begun  bool
-	since  time.Duration
-	timer  int32
-	handed bool
+	handed bool // the booking ids
 }
 
-// refusing reports whether new calls are refused because of a stop. They are
-// served for the balancer delay, or until the control plane says otherwise.
-func (e *Engine) refusing() bool {
-	if !e.view.Stopping() {
-		return false
-	}
-	return e.stop.handed || !e.ready.OK || e.stop.begun && e.now >= e.stop.since+e.cfg.BalancerDelay
-}
+// refusing reports whether new calls are refused because of a stop. The
+// control plane has let the balancer delay pass before.
+func (e *Engine) refusing() bool { return e.stop.handed || e.view.Stopping() }
 
 // runStop hands the booking ids over once nothing is in progress.
 func (e *Engine) runStop() {
-	if !e.view.Stopping() {
-		return
-	}
-	if !e.stop.begun {
-		e.stop.begun, e.stop.since = true, e.now
-		if e.cfg.BalancerDelay > 0 {
-			e.timers.set(e.stop.timer, e.now+e.cfg.BalancerDelay)
-		}
-	}
-	if e.refusing() && !e.stop.handed && !e.busy() {
+	if e.view.Stopping() && !e.stop.handed && !e.busy() {
 		e.stop.handed = true
 		e.handOver()
 	}
--- a/core/query/timer.go
+++ b/core/query/timer.go
@@ -13,7 +13,6 @@
 	timerTarget
 	timerBooking
 	timerReservations
-	timerStop
 )
 
 // timer is one entry of the heap. It belongs to one entity.
--- a/core/query/topology.go
+++ b/core/query/topology.go
@@ -169,7 +169,7 @@
 		}
 	}
 	if t.leadPeer != none {
-		e.peers[t.leadPeer].address, e.peers[t.leadPeer].life = lead.Address, lead.Incarnation
+		e.peers[t.leadPeer].address = lead.Address
 	}
 	if before.Self != lead.Self {
 		e.leadChanged(i)
