--- a/core/model/peer.go
+++ b/core/model/peer.go
@@ -167,8 +167,9 @@
 }
 
 // BookingHandover gives the outcomes of a stopping owner to a successor. Ids
-// from First to Issued that are not listed were never run. The use of ids
-// below First is no longer known.
+// from First to Issued that are not listed were never run. A long handover is
+// cut into messages with ranges of their own; the use of ids outside all
+// ranges is not known.
 type BookingHandover struct {
 	Owner       InstanceID
 	Incarnation Incarnation
