--- a/core/query/stop_test.go
+++ b/core/query/stop_test.go
@@ -82,3 +82,51 @@
 		}
 	}
 }
+
+// Guards against outcomes that are lost because a handover is too large for
+// one message, or because the successor stops as well.
+func TestLargeHandoverTwice(t *testing.T) {
+	s := newSim(3, 1, 2, 2, model.PolicyFull)
+	a, b, c := s.nodes[0], s.nodes[1], s.nodes[2]
+	s.edit(func(_ model.SendTarget, r *model.TargetReply) bool {
+		r.Answer.Body = make([]byte, handoverBytes/2)
+		return true
+	})
+	ids := append(a.ids(4), a.ids(4)...)
+	for k, id := range ids[:6] {
+		if k != 3 {
+			a.book(model.CallID(k), id, time.Second)
+		}
+	}
+	s.run(time.Second)
+	messages := 0
+	s.onPeer = func(_ *simNode, m model.SendPeer) bool {
+		if is[model.BookingHandover](m.Message) {
+			messages++
+		}
+		return false
+	}
+	for _, n := range s.nodes {
+		n.v.after["a"] = "c"
+	}
+	a.v.stopping, a.v.successor = true, "c"
+	a.tick()
+	s.run(time.Second)
+	a.down, c.v.after["a"], c.v.stopping = true, "b", true
+	c.tick()
+	s.run(time.Second)
+	c.down = true
+	for k, id := range ids {
+		b.book(model.CallID(10+k), id, time.Second)
+		want := ran
+		if k == 3 || k > 5 {
+			want = notRun
+		}
+		if x := execution(bookOf(t, s, model.CallID(10+k))); x != want {
+			t.Errorf("booking %d: %v, want %v", k, x, want)
+		}
+	}
+	if messages != 6 {
+		t.Errorf("%d messages, want 3 from each instance", messages)
+	}
+}
