--- a/core/model/peer.go
+++ b/core/model/peer.go
@@ -107,6 +107,10 @@
 // RelayRequest carries the work of one call for all targets that the receiver
 // leads.
 type RelayRequest struct {
+	// Lead is the incarnation of the receiver that the sender means, zero if
+	// it is not known. Another one answers a booking with "unknown": it
+	// cannot tell whether its predecessor has run it.
+	Lead      Incarnation
 	BookingID string          // empty for a search
 	Snapshot  SnapshotVersion // zero for a booking
 	Budget    time.Duration   // remaining at the time of sending
@@ -163,8 +167,9 @@
 }
 
 // BookingHandover gives the outcomes of a stopping owner to a successor. Ids
-// from First to Issued that are not listed were never run. The use of ids
-// below First is no longer known.
+// from First to Issued that are not listed were never run. A long handover is
+// cut into messages with ranges of their own; the use of ids outside all
+// ranges is not known.
 type BookingHandover struct {
 	Owner       InstanceID
 	Incarnation Incarnation
--- a/core/query/latency.go
+++ b/core/query/latency.go
@@ -19,7 +19,10 @@
 // relayWait is the lead's last report of its queue, less with age, and what
 // this instance has sent since.
 func (t *target) relayWait(now time.Duration) time.Duration {
-	d := time.Duration(float64(t.wait) * weight(now-t.waitAt))
+	d := t.wait
+	if d > 0 {
+		d = time.Duration(float64(d) * weight(now-t.waitAt))
+	}
 	if t.sentSince > t.leadLevel && t.leadLevel > 0 {
 		d += t.latency * time.Duration(t.sentSince-t.leadLevel) / time.Duration(t.leadLevel)
 	}
@@ -67,7 +70,8 @@
 
 const (
 	quantileSamples = 64
-	quantileRefresh = 16 // samples between two computations
+	quantileFirst   = 4  // samples before the first computation
+	quantileRefresh = 16 // most samples between two computations
 	hedgeQuantile   = 95 // per cent
 )
 
@@ -90,7 +94,7 @@
 		q.next = (q.next + 1) % quantileSamples
 	}
 	q.added++
-	if q.added < quantileRefresh {
+	if n := len(q.recent); n < quantileFirst || q.added < min(quantileRefresh, n/2) {
 		return
 	}
 	q.added = 0
