--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -295,7 +295,7 @@
 		}
 		break
 	}
-	l.set.cfg.Metrics.LinkBroken()
+	l.set.cfg.Metrics.StreamBroken()
 	l.set.cfg.Log.LinkBroken(l.to, during, err)
 	l.set.cfg.Submit(model.PeerDown{Peer: l.to})
 }
--- a/node/peer/links.go
+++ b/node/peer/links.go
@@ -19,7 +19,7 @@
 type Metrics interface {
 	FrameSent()
 	FrameReceived()
-	LinkBroken()
+	StreamBroken()
 }
 
 // Config configures both sides. All fields are required.
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -209,8 +209,8 @@
 // FrameReceived implements peer.Metrics.
 func (m *Metrics) FrameReceived() { m.framesReceived.Add(1) }
 
-// LinkBroken implements peer.Metrics.
-func (m *Metrics) LinkBroken() { m.linksBroken.Add(1) }
+// StreamBroken implements peer.Metrics.
+func (m *Metrics) StreamBroken() { m.linksBroken.Add(1) }
 
 // ConfigRead implements platform.Metrics.
 func (m *Metrics) ConfigRead(ok bool) { count(m.configReads, m.configReadErrors, ok) }
