--- a/node/telemetry/spans.go
+++ b/node/telemetry/spans.go
@@ -85,6 +85,12 @@
 	}
 }
 
+func valid(traceparent string) bool {
+	carrier := propagation.MapCarrier{"traceparent": traceparent}
+	ctx := propagation.TraceContext{}.Extract(context.Background(), carrier)
+	return trace.SpanContextFromContext(ctx).IsValid()
+}
+
 // start starts a span below a traceparent, and returns the traceparent of the
 // span.
 func (s *Spans) start(parent, name string, kind trace.SpanKind, attributes ...attribute.KeyValue) (string, trace.Span) {
@@ -95,8 +101,12 @@
 	return carrier["traceparent"], span
 }
 
-// Call starts the span of a caller's call.
+// Call starts the span of a caller's call. The parent is what the caller sent;
+// one that is not a traceparent is dropped, as it must not travel on.
 func (s *Spans) Call(parent, call, requestID string) (traceparent string, end func(model.Kind)) {
+	if parent != "" && !valid(parent) {
+		parent = ""
+	}
 	if s.provider == nil {
 		return parent, func(model.Kind) {}
 	}
