--- a/node/api/handlers.go
+++ b/node/api/handlers.go
@@ -45,12 +45,26 @@
 	return out, end, err
 }
 
-// fail answers with an error of the core or of ask.
-func (c *call) fail(e *model.Error) { writeError(c.w, c.id, statusOf(e), e) }
-
-func (c *call) succeed(v any) {
+// answer ends a call with the error, or else with the answer.
+func (c *call) answer(end func(model.Kind), e *model.Error, success func() any) {
+	if e != nil {
+		writeError(c.w, c.id, statusOf(e), e)
+		end(e.Kind)
+		return
+	}
 	c.w.Header().Set("X-Request-Id", c.id)
-	writeJSON(c.w, http.StatusOK, v)
+	writeJSON(c.w, http.StatusOK, success())
+	end(model.KindNone)
+}
+
+// expect returns the core's answer as the type that the call must get, or the
+// error of ask.
+func expect[T model.Output](out model.Output, err error) (T, *model.Error) {
+	answer, ok := out.(T)
+	if err != nil || !ok {
+		return answer, asError(err)
+	}
+	return answer, nil
 }
 
 // asError turns what ask returns into a typed error.
@@ -62,13 +76,6 @@
 	return &model.Error{Kind: model.KindDeadline, Execution: model.Unknown, Message: "this instance gave an answer of another kind; report it with the output of GET /v1/trace"}
 }
 
-func kindOf(e *model.Error) model.Kind {
-	if e == nil {
-		return model.KindNone
-	}
-	return e.Kind
-}
-
 func (s *Server) search(w http.ResponseWriter, r *http.Request) {
 	c := s.arrive(w, r, telemetry.CallSearch)
 	var req searchRequest
@@ -89,19 +96,12 @@
 	out, end, err := c.ask(budget, func(id model.CallID, left time.Duration, trace string) model.Input {
 		return model.SearchCall{Call: id, RequestID: c.id, Route: model.RouteID(req.Route), Budget: left, Body: req.Query, Trace: trace}
 	})
-	answer, ok := out.(model.SearchAnswer)
-	if err == nil && ok {
+	answer, e := expect[model.SearchAnswer](out, err)
+	if e == nil {
 		c.s.cfg.Metrics.SearchAnswered(&answer)
-		if answer.Error == nil {
-			c.succeed(searchForm(c.id, answer, time.Since(c.arrived)))
-			end(model.KindNone)
-			return
-		}
-		err = answer.Error
+		e = answer.Error
 	}
-	e := asError(err)
-	c.fail(e)
-	end(e.Kind)
+	c.answer(end, e, func() any { return searchForm(c.id, answer, time.Since(c.arrived)) })
 }
 
 func (s *Server) book(w http.ResponseWriter, r *http.Request) {
@@ -129,19 +129,11 @@
 	out, end, err := c.ask(budget, func(id model.CallID, left time.Duration, trace string) model.Input {
 		return model.BookCall{Call: id, RequestID: c.id, Booking: booking, Route: model.RouteID(req.Route), Budget: left, Body: req.Booking, Trace: trace}
 	})
-	answer, ok := out.(model.BookAnswer)
-	if err == nil && ok && answer.Error == nil {
-		c.succeed(bookResponse{RequestID: c.id, BookingID: req.BookingID, Execution: model.Ran.String(), Target: answer.Target,
-			Repeat: answer.Repeat, Result: json.RawMessage(answer.Body), ElapsedMs: milliseconds(time.Since(c.arrived))})
-		end(model.KindNone)
-		return
-	}
-	if err == nil && ok {
-		err = answer.Error
-	}
-	e := asError(err)
-	c.fail(e)
-	end(e.Kind)
+	answer, e := expect[model.BookAnswer](out, err)
+	c.answer(end, first(e, answer.Error), func() any {
+		return bookResponse{RequestID: c.id, BookingID: req.BookingID, Execution: model.Ran.String(), Target: answer.Target,
+			Repeat: answer.Repeat, Result: json.RawMessage(answer.Body), ElapsedMs: milliseconds(time.Since(c.arrived))}
+	})
 }
 
 func (s *Server) bookingIDs(w http.ResponseWriter, r *http.Request) {
@@ -158,22 +150,14 @@
 	out, end, err := c.ask(statusTimeout, func(id model.CallID, _ time.Duration, _ string) model.Input {
 		return model.IssueBookingIDs{Call: id, Count: *req.Count}
 	})
-	answer, ok := out.(model.BookingIDs)
-	if err == nil && ok && answer.Error == nil {
+	answer, e := expect[model.BookingIDs](out, err)
+	c.answer(end, first(e, answer.Error), func() any {
 		ids := make([]string, len(answer.IDs))
 		for i, id := range answer.IDs {
 			ids[i] = id.String()
 		}
-		c.succeed(bookingIDsResponse{BookingIDs: ids, ValidMs: answer.Valid.Milliseconds()})
-		end(model.KindNone)
-		return
-	}
-	if err == nil && ok {
-		err = answer.Error
-	}
-	e := asError(err)
-	c.fail(e)
-	end(e.Kind)
+		return bookingIDsResponse{BookingIDs: ids, ValidMs: answer.Valid.Milliseconds()}
+	})
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
@@ -181,15 +165,8 @@
 	out, end, err := c.ask(statusTimeout, func(id model.CallID, _ time.Duration, _ string) model.Input {
 		return model.StatusCall{Call: id}
 	})
-	answer, ok := out.(model.Status)
-	if err != nil || !ok {
-		e := asError(err)
-		c.fail(e)
-		end(e.Kind)
-		return
-	}
-	c.succeed(statusForm(s.cfg.Core, answer))
-	end(model.KindNone)
+	answer, e := expect[model.Status](out, err)
+	c.answer(end, e, func() any { return statusForm(s.cfg.Core, answer) })
 }
 
 // first returns the first error.
--- a/node/api/server.go
+++ b/node/api/server.go
@@ -179,10 +179,13 @@
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	raw, err := json.Marshal(v)
 	if err != nil {
-		// Only a result that is not JSON fails here, and targets' answers are
-		// checked where they arrive.
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		// Only a result that is not JSON gets here. Targets' answers are checked
+		// where they arrive, so another instance has passed on a damaged one.
+		status = http.StatusBadGateway
+		raw, _ = json.Marshal(errorResponse{RequestID: w.Header().Get("X-Request-Id"), Error: errorBody{
+			ID: model.KindTargetAnswer.ID(), Kind: model.KindTargetAnswer.String(), Execution: model.Unknown.String(),
+			Message: "the answer of a target is not JSON: " + err.Error() + "; check the releases of the instances",
+		}})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -123,11 +123,11 @@
 }
 
 // quietLibraries stops libraries from writing lines of their own to stderr,
-// which holds one JSON object a line.
-func quietLibraries() {
+// which holds one JSON object a line. Their loggers belong to the process.
+var quietLibraries = sync.OnceFunc(func() {
 	klog.SetLogger(klog.NewStdLogger(io.Discard))
 	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, io.Discard))
-}
+})
 
 // Start starts all parts.
 func (d *Daemon) Start() {
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -147,7 +147,6 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
 		grpc.WithReadBufferSize(ioBuffer),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxBackoff},
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -49,7 +49,6 @@
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxFrameBytes),
 		grpc.ReadBufferSize(ioBuffer),
-		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 	)
