--- a/core/objects/decode.go
+++ b/core/objects/decode.go
@@ -19,23 +19,48 @@
 type origin struct {
 	file   string
 	line   int
-	fields map[string]int  // line of each field, by path
+	fields map[string]int  // line of each field, by path; nil for a bundle
 	bad    map[string]bool // paths that already have a finding
 }
 
+// setLine records the line of a field. A bundle has one line only, and its
+// decoding is on the path to adopting a set, so nothing is kept for it.
+func (o *origin) setLine(path string, line int) {
+	if o.fields != nil {
+		o.fields[path] = line
+	}
+}
+
 // draft is a set that has been decoded but not checked. Its slices are in
 // source order.
 type draft struct {
 	set     Set
 	origins map[ref]*origin
 	limits  int // number of limits objects
+	// bundle says that the draft comes from a bundle, whose size is known.
+	bundle bool
+	// partial says that a file could not be read, so that a reference to an
+	// object that is not in the draft proves nothing.
+	partial bool
 }
 
 // decoder adds the objects of one file or bundle after the other to a draft.
 type decoder struct {
 	file     string
 	draft    *draft
-	findings []Finding
+	findings findingList
+}
+
+// findingList collects findings up to a limit.
+type findingList struct {
+	list  []Finding
+	limit int // 0: no limit
+}
+
+func (l *findingList) add(f Finding) {
+	if l.limit == 0 || len(l.list) < l.limit {
+		l.list = append(l.list, f)
+	}
 }
 
 func newDecoder() *decoder {
@@ -46,7 +71,7 @@
 }
 
 func (d *decoder) report(line int, code Code, object, field, message, remedy string) {
-	d.findings = append(d.findings, Finding{
+	d.findings.add(Finding{
 		Code: code, File: d.file, Line: line, Object: object, Field: field,
 		Message: message, Remedy: remedy,
 	})
@@ -70,9 +95,9 @@
 	r := newReader(d, n.line, members)
 	var kind, name string
 	r.text("kind", &kind)
-	r.object = kind
+	r.object = clip(kind)
 	r.text("name", &name)
-	r.object = strings.TrimSpace(kind + " " + name)
+	r.object = objectLabel(Kind(kind), name)
 	r.reportRepeated()
 	r.require("kind", "name")
 	if kind == "" {
@@ -90,7 +115,7 @@
 	case KindLimits:
 		d.limits(r, name)
 	default:
-		r.report("kind", CodeUnknownKind, fmt.Sprintf("there is no kind %q", kind),
+		r.report("kind", CodeUnknownKind, fmt.Sprintf("there is no kind %q", clip(kind)),
 			"use place, target_group, route, order or limits")
 		return
 	}
@@ -143,7 +168,7 @@
 		if !ok {
 			r.wrongType(fmt.Sprintf("groups[%d]", i), n, "the name of a group in quotes")
 		}
-		r.origin.fields[fmt.Sprintf("groups[%d]", i)] = n.line
+		r.origin.setLine(fmt.Sprintf("groups[%d]", i), n.line)
 		route.Groups = append(route.Groups, group)
 	}
 	d.draft.origins[ref{KindRoute, len(d.draft.set.Routes)}] = r.origin
@@ -204,10 +229,13 @@
 }
 
 func newReader(d *decoder, line int, members []member) *reader {
-	o := &origin{file: d.file, line: line, fields: map[string]int{}, bad: map[string]bool{}}
+	o := &origin{file: d.file, line: line, bad: map[string]bool{}}
+	if !d.draft.bundle {
+		o.fields = map[string]int{}
+	}
 	r := &reader{decoder: d, origin: o, line: line, members: members, known: map[string]bool{}}
 	for _, m := range members {
-		o.fields[m.name] = m.node.line
+		o.setLine(m.name, m.node.line)
 	}
 	return r
 }
@@ -216,7 +244,7 @@
 // nil after a report if the element is not an object.
 func (r *reader) element(name string, i int, n node) *reader {
 	path := fmt.Sprintf("%s[%d]", name, i)
-	r.origin.fields[path] = n.line
+	r.origin.setLine(path, n.line)
 	members, ok := n.value.([]member)
 	if !ok {
 		r.wrongType(path, n, "an object")
@@ -227,7 +255,7 @@
 		line: n.line, members: members, known: map[string]bool{},
 	}
 	for _, m := range members {
-		r.origin.fields[sub.prefix+m.name] = m.node.line
+		r.origin.setLine(sub.prefix+m.name, m.node.line)
 	}
 	sub.reportRepeated()
 	return sub
@@ -243,14 +271,14 @@
 	if name != "" {
 		r.origin.bad[path] = true
 	}
-	r.decoder.report(line, code, r.object, strings.TrimSuffix(path, "."), message, remedy)
+	r.decoder.report(line, code, r.object, clip(strings.TrimSuffix(path, ".")), message, remedy)
 }
 
 func (r *reader) reportRepeated() {
 	seen := map[string]bool{}
 	for _, m := range r.members {
 		if seen[m.name] {
-			r.report(m.name, CodeRepeatedField, fmt.Sprintf("the field %q is given twice", m.name),
+			r.report(m.name, CodeRepeatedField, fmt.Sprintf("the field %q is given twice", clip(m.name)),
 				"keep one of them")
 		}
 		seen[m.name] = true
@@ -262,7 +290,7 @@
 	for _, m := range r.members {
 		if !r.known[m.name] {
 			r.known[m.name] = true
-			r.report(m.name, CodeUnknownField, fmt.Sprintf("there is no field %q here", m.name),
+			r.report(m.name, CodeUnknownField, fmt.Sprintf("there is no field %q here", clip(m.name)),
 				"remove it or correct its spelling")
 		}
 	}
@@ -395,6 +423,11 @@
 	return items
 }
 
+// objectLabel names an object in findings.
+func objectLabel(kind Kind, name string) string {
+	return strings.TrimSpace(clip(string(kind)) + " " + clip(name))
+}
+
 // clip shortens a value for a message.
 func clip(s string) string {
 	const limit = 80
