--- a/node/peer/frame.go
+++ b/node/peer/frame.go
@@ -38,7 +38,8 @@
 	case model.RelayRequest:
 		return &peerpb.Frame{Message: &peerpb.Frame_RelayRequest{RelayRequest: &peerpb.RelayRequest{
 			BookingId: m.BookingID, Snapshot: uint64(m.Snapshot), BudgetNs: nanoseconds(m.Budget),
-			RequestId: m.RequestID, Body: m.Body, Trace: m.Trace, Items: mapSlice(m.Items, encodeItem)}}}, nil
+			RequestId: m.RequestID, Body: m.Body, Trace: m.Trace, Lead: uint64(m.Lead),
+			Items: mapSlice(m.Items, encodeItem)}}}, nil
 	case model.RelayReply:
 		return &peerpb.Frame{Message: &peerpb.Frame_RelayReply{RelayReply: &peerpb.RelayReply{
 			Items: mapSlice(m.Items, encodeOutcome)}}}, nil
@@ -101,7 +102,7 @@
 		r := m.RelayRequest
 		return model.RelayRequest{BookingID: r.GetBookingId(), Snapshot: model.SnapshotVersion(r.GetSnapshot()),
 			Budget: d.duration(r.GetBudgetNs()), RequestID: r.GetRequestId(), Body: r.GetBody(),
-			Trace: r.GetTrace(), Items: mapSlice(r.GetItems(), decodeItem)}
+			Trace: r.GetTrace(), Lead: model.Incarnation(r.GetLead()), Items: mapSlice(r.GetItems(), decodeItem)}
 	case *peerpb.Frame_RelayReply:
 		return model.RelayReply{Items: mapSlice(m.RelayReply.GetItems(), d.outcome)}
 	case *peerpb.Frame_RelayCancel:
