peer: name the receiver in the first frame

Change: the Hello names the receiver, and an instance with another id refuses the stream, which the sender reports as PeerDown.

--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -218,7 +218,8 @@
 	if err != nil {
 		return nil, cause(ctx, err)
 	}
-	hello := &peerpb.Frame{Message: &peerpb.Frame_Hello{Hello: l.set.hello}}
+	hello := &peerpb.Frame{Message: &peerpb.Frame_Hello{Hello: &peerpb.Hello{Instance: string(l.set.cfg.Self),
+		Incarnation: uint64(l.set.cfg.Incarnation), Receiver: string(l.to)}}}
 	if err := s.Send(hello); err != nil && !errors.Is(err, io.EOF) {
 		return nil, cause(ctx, err)
 	}
--- a/node/peer/link_test.go
+++ b/node/peer/link_test.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// Guards against messages for an instance that has ended, whose address another
+// one has got.
+func TestAnotherInstanceAtTheAddress(t *testing.T) {
+	a, b := newEnd(), newEnd()
+	address, _ := b.serve(t, "127.0.0.1:0")
+	a.links(t).Send(model.SendPeer{To: "c", Address: address, Message: relay(1)})
+	if in := <-a.inputs; in != (model.PeerDown{Peer: "c"}) || len(b.inputs) != 0 {
+		t.Errorf("got %+v, and the other instance %d inputs", in, len(b.inputs))
+	}
+}
+
 // Guards against a set that reaches the core without the check.
 func TestSetsAreCheckedOnArrival(t *testing.T) {
 	source, findings := objects.Load([]string{"../../examples/lagos"})
--- a/node/peer/links.go
+++ b/node/peer/links.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"galenadyke.dev/core/model"
-	"galenadyke.dev/node/peer/peerpb"
 )
 
 // Log takes reports of faults.
@@ -35,8 +34,7 @@
 
 // Links holds the outgoing link to each peer. Send is called by the loop.
 type Links struct {
-	cfg   Config
-	hello *peerpb.Hello
+	cfg Config
 
 	mu     sync.Mutex // guards what follows; held for map operations only
 	links  map[model.InstanceID]*link
@@ -48,7 +46,6 @@
 func NewLinks(cfg Config) *Links {
 	return &Links{
 		cfg:   cfg,
-		hello: &peerpb.Hello{Instance: string(cfg.Self), Incarnation: uint64(cfg.Incarnation)},
 		links: make(map[model.InstanceID]*link),
 	}
 }
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -76,6 +76,10 @@
 	if from == s.cfg.Self {
 		return status.Error(codes.InvalidArgument, "the sender has the id of the receiver; give each instance its own id")
 	}
+	if to := model.InstanceID(hello.GetReceiver()); to != s.cfg.Self {
+		// Addresses of instances that have ended are used again.
+		return status.Errorf(codes.FailedPrecondition, "instance %s is not at this address; %s is", to, s.cfg.Self)
+	}
 	in := s.accept(from)
 	if err := stream.SendHeader(metadata.MD{}); err != nil {
 		s.ended(from, in, err)
