fleet: tell the data plane when a lead becomes active by readiness

Cause: view.Lead.Active depends on readiness, but a change of readiness did not report the led targets as changed. A lead that got the release of a target while it was not confirmed after a suspension stayed inactive in the data plane: it accepted work for the target and never sent it. Change: a change of readiness reports the targets that this instance holds active.

--- a/core/fleet/cluster_test.go
+++ b/core/fleet/cluster_test.go
@@ -27,6 +27,7 @@
 	events    []model.Event
 	reads     int
 	adoptedAt map[string]time.Duration
+	leads     map[model.TargetID]view.Lead // as the changes told the data plane
 }
 
 // delivery is an input on its way.
@@ -89,6 +90,7 @@
 	n := p.nodes[i]
 	n.life++
 	n.up, n.ready, n.stopped, n.pending = true, false, false, map[model.TargetID]bool{}
+	n.leads = map[model.TargetID]view.Lead{}
 	n.f = New(model.CoreConfig{
 		Self: instance(i), Incarnation: n.life, Address: "10.0.0.1:1", Place: p.place(i),
 		Seed: uint64(i) + 100*uint64(n.life), Policy: model.PolicyFull,
@@ -170,6 +172,7 @@
 	r := view.Report{Idle: true}
 	for _, id := range c.Targets {
 		lead := n.f.Lead(id)
+		n.leads[id] = lead
 		if n.pending[id] && !lead.Self {
 			delete(n.pending, id)
 			r.Drained = append(r.Drained, view.Drained{Target: id, Incarnation: 1, Level: 2})
--- a/core/fleet/matrix_test.go
+++ b/core/fleet/matrix_test.go
@@ -196,6 +196,7 @@
 				t.Errorf("a target without lead for %v, want at most %v", p.gap, f.gap)
 			}
 			p.want(p.backwards == 0, "no set is followed by an earlier one")
+			p.leadsTold()
 		})
 	}
 }
@@ -204,6 +205,19 @@
 	return newSet(generation, digest, 8, 2)
 }
 
+// leadsTold checks that the data planes know the present leads. One that was
+// not told of a lead that is active again would never send there.
+func (p *pump) leadsTold() {
+	p.t.Helper()
+	for i, n := range p.nodes {
+		for id, lead := range n.leads {
+			if n.up && lead != n.f.Lead(id) {
+				p.t.Errorf("i%03d: the data plane was told %+v of %s, the lead is %+v", i, lead, id, n.f.Lead(id))
+			}
+		}
+	}
+}
+
 func (p *pump) publish(s *objects.Set) { p.service = func(int) *objects.Set { return s } }
 
 func (p *pump) unless(down bool) *objects.Set { return p.unlessSet(down, matrixSet(1, "a")) }
--- a/core/fleet/readiness.go
+++ b/core/fleet/readiness.go
@@ -36,6 +36,9 @@
 		f.setSelfStatus(model.MemberServing)
 	}
 	if now != f.ready {
+		if now.OK != f.ready.OK {
+			f.touchActive()
+		}
 		f.ready = now
 		f.changes.Readiness = true
 	}
@@ -51,6 +54,16 @@
 	f.emit(r)
 }
 
+// touchActive reports the targets at which this instance sends. A lead is
+// active only while the instance is ready.
+func (f *Fleet) touchActive() {
+	for _, t := range f.self.leads {
+		if t.hold == holdActive {
+			f.touch(t)
+		}
+	}
+}
+
 // assess says whether new work may be sent.
 func (f *Fleet) assess() (view.Readiness, string) {
 	notReady := view.Readiness{Kind: model.KindNotReady}
