--- a/core/query/attempt.go
+++ b/core/query/attempt.go
@@ -113,6 +113,9 @@
 	}
 	if a.peer != none {
 		e.unlinkPeer(id)
+		if t := &e.targets[a.target]; t.sentSince > 0 && a.sent > t.waitAt {
+			t.sentSince--
+		}
 	}
 	*a = attempt{}
 	e.attempts.release(id)
@@ -136,6 +139,7 @@
 	if o.err == model.KindNone {
 		o.err = e.checkAnswer(c, &a, &o.answer)
 	}
+	c.search.changed = append(c.search.changed, a.part)
 	e.markCall(a.call)
 	if p.state != partOpen {
 		return
--- a/core/query/warm.go
+++ b/core/query/warm.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"strconv"
 	"time"
 
 	"galenadyke.dev/core/model"
@@ -49,8 +50,12 @@
 		return
 	}
 	if t.draining {
-		// Led again before the last work ended: what was learned still holds.
+		// Led again before the last work ended: what was learned still holds,
+		// but the lead in between may have seen the target fall back.
 		t.draining = false
+		if t.info.Level > 0 {
+			e.setLevel(i, min(t.level, t.info.Level))
+		}
 		return
 	}
 	t.level, t.streak, t.slow, t.foreign, t.service = 1, 0, 0, 0, 0
@@ -99,6 +104,10 @@
 	level = max(1, min(level, t.slots))
 	t.streak = 0
 	if level != t.level {
+		e.emit(model.Event{
+			Name: "TargetLevel", Subject: string(t.id),
+			Before: strconv.Itoa(t.level), After: strconv.Itoa(level), Warning: level < t.level,
+		})
 		t.level = level
 		e.markObserved(i)
 		e.markTarget(i)
