--- a/core/engine/cluster_test.go
+++ b/core/engine/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -47,6 +48,7 @@
 	cut     func(a, b *node) bool
 	stall   func(a, b *node) bool // the network holds messages back
 	stalled []func()
+	twice   bool                               // each message between instances comes again, late
 	views   func(n *node) []model.InstanceInfo // the instance list as the instance gets it
 	broken  map[[2]*node]bool                  // a PeerDown is under way
 	// mark, if set, is told each step of the work: its name, the instance and
@@ -80,6 +82,7 @@
 	stopped  time.Duration
 	unready  time.Duration // when it was last not ready
 	config   *objects.Set
+	cfg      model.CoreConfig
 	record   *trace.Writer
 }
 
@@ -296,6 +299,14 @@
 	return nil
 }
 
+// recordTo records the trace of an instance that has not ticked yet.
+func (n *node) recordTo(w io.Writer) {
+	var err error
+	if n.record, err = trace.NewWriter(w, trace.Header{Config: n.cfg, Outputs: true}); err != nil {
+		n.c.t.Fatal(err)
+	}
+}
+
 // list is the complete instance list without the given instance.
 func (c *cluster) list(without *node) []model.InstanceInfo {
 	var l []model.InstanceInfo
@@ -310,6 +321,7 @@
 // start starts a new life of an instance.
 func (c *cluster) start(n *node) {
 	n.life++
+	n.record = nil
 	n.up, n.paused, n.ready, n.config, n.wake, n.held = true, false, false, nil, 0, nil
 	n.stopping, n.stopped = 0, 0
 	cfg := model.CoreConfig{
@@ -317,7 +329,7 @@
 		Seed: uint64(n.i) + 100*uint64(n.life), Policy: c.policy,
 		BalancerDelay: 500 * ms, StopTimeout: 5 * second,
 	}
-	n.e = engine.New(cfg)
+	n.e, n.cfg = engine.New(cfg), cfg
 	life := n.life
 	var poll func()
 	poll = func() {
@@ -419,6 +431,9 @@
 			c.stalled = append(c.stalled, func() { c.receive(n, to, from, life, m) })
 		default:
 			c.receive(n, to, from, life, m)
+			if c.twice {
+				c.after(50*ms, func() { c.receive(n, to, from, life, m) })
+			}
 		}
 	})
 }
--- /dev/null
+++ b/core/engine/incidents_test.go
@@ -0,0 +1,293 @@
+package engine_test
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"galenadyke.dev/core/engine"
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/core/trace"
+)
+
+var update = flag.Bool("update", false, "record the traces of the incidents anew")
+
+// incident is a recorded failure of the design page. The recorded instance is
+// i0 unless play records another one.
+type incident struct {
+	name      string
+	instances int
+	slots     int
+	play      func(c *cluster, record func(*node))
+}
+
+// bookAt books with an id of i0 at an instance.
+func (c *cluster) bookAt(n *node, id model.BookingID) *callerCall {
+	call := c.call(n, 400*ms)
+	call.booking = id
+	n.step(model.BookCall{Call: call.id, RequestID: call.name, Booking: id, Route: "book", Budget: call.budget, Body: []byte(id.String())})
+	return call
+}
+
+func (c *cluster) bookingID(n *node) model.BookingID {
+	call := c.call(n, second)
+	n.step(model.IssueBookingIDs{Call: call.id, Count: 1})
+	return call.answers[0].(model.BookingIDs).IDs[0]
+}
+
+// onStep runs f at the first step of the name.
+func (c *cluster) onStep(step string, f func(n, peer *node, x *target)) {
+	c.mark = func(name string, n, peer *node, x *target) {
+		if name == step {
+			c.mark = func(string, *node, *node, *target) {}
+			f(n, peer, x)
+		}
+	}
+}
+
+// searchEvery10ms sends one search each 10 ms.
+func (c *cluster) searchEvery10ms(n *node, count int) {
+	for range count {
+		c.search(n, 200*ms)
+		c.run(10 * ms)
+	}
+}
+
+var incidents = []incident{
+	{"booking-target-dies-after-write", 2, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		id := c.bookingID(c.nodes[0])
+		c.onStep("SendTarget booking", func(_, _ *node, x *target) { c.after(3*ms, func() { c.killTarget(x) }) })
+		c.bookAt(c.nodes[0], id)
+		c.run(second)
+		c.bookAt(c.nodes[0], id)
+		c.run(second / 2)
+	}},
+	{"place-leaves-with-work", 2, 1, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		for _, x := range c.targets {
+			x.slow = 30 * ms
+		}
+		c.searchEvery10ms(c.nodes[0], 4)
+		id := c.bookingID(c.nodes[0])
+		c.bookAt(c.nodes[0], id)
+		c.publish(c.bundle(2, 1, ""))
+		c.searchEvery10ms(c.nodes[0], 20)
+		c.run(second)
+		c.searchEvery10ms(c.nodes[0], 5)
+		c.run(second / 2)
+	}},
+	{"lead-pauses", 3, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		c.searchEvery10ms(c.nodes[1], 4)
+		c.nodes[0].pause()
+		c.searchEvery10ms(c.nodes[1], 10)
+		c.run(3 * second)
+		c.nodes[0].resume()
+		c.run(3 * second)
+		c.searchEvery10ms(c.nodes[0], 3)
+		c.run(second / 2)
+	}},
+	{"target-restarts-unnoticed", 2, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		c.searchEvery10ms(c.nodes[0], 24)
+		for _, x := range c.targets {
+			c.startTarget(x) // its connections were idle, so that none breaks
+		}
+		c.run(50 * ms)
+		c.searchEvery10ms(c.nodes[0], 10)
+		c.run(second)
+	}},
+	{"version-retired", 2, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		c.repartition()
+		for range 20 {
+			c.search(c.nodes[0], 200*ms)
+			c.run(100 * ms)
+		}
+		c.run(second / 2)
+	}},
+	{"racing-publications", 3, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		low, high := c.bundle(2, 0, "s0-0"), c.bundle(2, 0, "s1-0")
+		if c.sets[low].Newer(c.sets[high]) {
+			low, high = high, low
+		}
+		c.publish(high)
+		c.run(20 * ms)
+		c.publish(low) // the loser is written last
+		c.run(second)
+		c.search(c.nodes[0], 200*ms)
+		c.run(second)
+	}},
+	{"service-outage-at-start", 2, 2, func(c *cluster, record func(*node)) {
+		c.run(2 * second)
+		c.read = noService(nil)
+		n := c.addNode(2)
+		c.start(n)
+		record(n)
+		c.run(4 * second)
+		c.search(n, 200*ms)
+		c.run(second / 2)
+	}},
+	{"late-and-duplicate-answers", 2, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		c.twice = true
+		c.searchEvery10ms(c.nodes[0], 5)
+		c.targets[1].slow = 300 * ms
+		c.targets[0].slow = 300 * ms
+		c.search(c.nodes[0], 200*ms)
+		c.run(second)
+		c.bookAt(c.nodes[0], c.bookingID(c.nodes[0]))
+		c.bookAt(c.nodes[0], c.bookingID(c.nodes[0]))
+		c.run(second)
+	}},
+	{"stop-with-work", 3, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		id := c.bookingID(c.nodes[0])
+		c.bookAt(c.nodes[0], id)
+		c.run(100 * ms)
+		for _, x := range c.targets {
+			x.slow = 50 * ms
+		}
+		c.search(c.nodes[0], 200*ms)
+		c.search(c.nodes[1], 200*ms)
+		c.nodes[0].step(model.Shutdown{})
+		c.search(c.nodes[0], 200*ms)
+		c.run(2 * second)
+	}},
+	{"booking-repeated-elsewhere", 3, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		id := c.bookingID(c.nodes[0])
+		c.bookAt(c.nodes[1], id)
+		c.bookAt(c.nodes[2], id)
+		c.run(200 * ms)
+		c.bookAt(c.nodes[0], id)
+		c.run(100 * ms)
+	}},
+	{"instance-isolated", 3, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		c.read, c.cut = noService(c.nodes[0]), cutOff(c.nodes[0])
+		c.run(3 * second)
+		c.search(c.nodes[0], 200*ms)
+		c.run(second)
+		c.connect()
+		c.run(2 * second)
+		c.search(c.nodes[0], 200*ms)
+		c.run(second / 2)
+	}},
+	{"lead-crashes", 3, 2, func(c *cluster, record func(*node)) {
+		record(c.nodes[0])
+		c.run(600 * ms)
+		c.nodes[2].kill()
+		c.searchEvery10ms(c.nodes[0], 3)
+		c.run(5 * second)
+		c.searchEvery10ms(c.nodes[0], 3)
+		c.run(second / 2)
+	}},
+}
+
+func recordIncident(t testing.TB, in *incident) []byte {
+	c := newCluster(t, in.instances, in.slots, 1)
+	c.leads = in.instances
+	var buf bytes.Buffer
+	in.play(c, func(n *node) { n.recordTo(&buf) })
+	return buf.Bytes()
+}
+
+func replay(t *testing.T, raw []byte, outcome *trace.Outcome) trace.Summary {
+	t.Helper()
+	sum, err := trace.Replay(bytes.NewReader(raw), func(cfg model.CoreConfig) trace.Engine { return engine.New(cfg) },
+		func(tick *trace.Tick) { outcome.See(tick.At, tick.Outputs) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range outcome.Failures() {
+		t.Error(line)
+	}
+	return sum
+}
+
+func readOutcome(t *testing.T, path string) *trace.Outcome {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := trace.ParseOutcome(bytes.NewReader(raw))
+	if err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	return o
+}
+
+// Guards against a release that handles a recorded incident in another way
+// than its outcome states. The recorded outputs are those of the release that
+// recorded them, so that a difference from them is only reported; -update
+// records all traces anew.
+func TestRecordedIncidents(t *testing.T) {
+	if *update {
+		for i := range incidents {
+			path := filepath.Join("testdata", incidents[i].name+".trace")
+			if err := os.WriteFile(path, recordIncident(t, &incidents[i]), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	paths, _ := filepath.Glob("testdata/*.trace")
+	if len(paths) < len(incidents) {
+		t.Errorf("%d traces for %d incidents; record them with -update", len(paths), len(incidents))
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			raw, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum := replay(t, raw, readOutcome(t, strings.TrimSuffix(path, ".trace")+".outcome"))
+			if !sum.Compared || sum.Ticks == 0 {
+				t.Errorf("%d ticks, compared: %v", sum.Ticks, sum.Compared)
+			}
+			if len(sum.Differences) > 0 {
+				t.Logf("%d of %d ticks differ from the recorded ones; record with -update", len(sum.Differences), sum.Ticks)
+			}
+		})
+	}
+}
+
+// Guards against an engine whose outputs depend on anything but its inputs and
+// times, and against a trace form that loses a part of them: a trace recorded
+// now gives exactly the recorded outputs, and the stated outcome.
+func TestReplayGivesTheSameOutputs(t *testing.T) {
+	for i := range incidents {
+		in := &incidents[i]
+		t.Run(in.name, func(t *testing.T) {
+			raw := recordIncident(t, in)
+			sum := replay(t, raw, readOutcome(t, filepath.Join("testdata", in.name+".outcome")))
+			if !sum.Compared || len(sum.Differences) > 0 {
+				t.Errorf("%d of %d ticks differ: %+v", len(sum.Differences), sum.Ticks, sum.Differences[:min(1, len(sum.Differences))])
+			}
+		})
+	}
+	names := make([]string, len(incidents))
+	for i := range incidents {
+		names[i] = incidents[i].name
+	}
+	if slices.Sort(names); len(slices.Compact(names)) != len(incidents) {
+		t.Error("two incidents have one name")
+	}
+}
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -26,6 +26,8 @@
 	// Dropped is the number of records from before the first record that were
 	// not kept. A replay gives the recorded outputs only if it is zero.
 	Dropped uint64 `json:"dropped"`
+	// Outputs says that the records hold the outputs.
+	Outputs bool `json:"outputs,omitempty"`
 }
 
 // Record is one tick: its time, the inputs before it and, if the writer kept
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -196,6 +196,9 @@
 	}
 }
 
+// RecordOutputs implements driver.Recorder.
+func (d *Daemon) RecordOutputs(outputs []model.Output) { d.ring.RecordOutputs(outputs) }
+
 // apply passes a set to the edges. The core adopts each set that is newer than
 // the one in force, so the newest set that passed the check is the one in force.
 func (d *Daemon) apply(set *objects.Set) {
--- a/node/driver/loop.go
+++ b/node/driver/loop.go
@@ -17,9 +17,11 @@
 // must never block: what takes time it starts elsewhere.
 type Actor interface{ Act(model.Output) }
 
-// Recorder keeps the inputs of a tick. The slice is valid during the call.
+// Recorder keeps the inputs of a tick and then its outputs. The slices are
+// valid during the call.
 type Recorder interface {
 	Record(now model.Now, inputs []model.Input)
+	RecordOutputs(outputs []model.Output)
 }
 
 const (
@@ -127,7 +129,9 @@
 	for _, in := range l.batch {
 		l.cfg.Engine.Step(in)
 	}
-	for _, out := range l.cfg.Engine.Tick(now) {
+	outputs := l.cfg.Engine.Tick(now)
+	l.cfg.Recorder.RecordOutputs(outputs)
+	for _, out := range outputs {
 		l.cfg.Actor.Act(out)
 	}
 	if l.cfg.Ticked != nil {
--- a/node/driver/ring.go
+++ b/node/driver/ring.go
@@ -13,7 +13,10 @@
 // 32 MB that a daemon may use for control.
 const ringBytes = 8 << 20
 
-// Ring keeps the latest inputs. Record is called by the loop; Dump may be
+// outputBytes is about the size of an output without its bodies.
+const outputBytes = 256
+
+// Ring keeps the latest inputs and the outputs of their ticks. Record is called by the loop; Dump may be
 // called from any goroutine.
 type Ring struct {
 	config model.CoreConfig
@@ -54,6 +57,20 @@
 	}
 }
 
+// RecordOutputs implements Recorder: it adds the outputs of the tick recorded
+// last.
+func (r *Ring) RecordOutputs(outputs []model.Output) {
+	if r.limit == 0 || len(outputs) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := &r.records[len(r.records)-1]
+	r.bytes -= bodyBytes(last)
+	last.Outputs = slices.Clone(outputs)
+	r.bytes += bodyBytes(last)
+}
+
 func (r *Ring) dropFirst() {
 	old := &r.records[r.first]
 	r.count -= weight(old)
@@ -69,7 +86,7 @@
 	records := slices.Clone(r.records[r.first:])
 	dropped := r.dropped
 	r.mu.Unlock()
-	tw, err := trace.NewWriter(w, trace.Header{Config: r.config, Dropped: dropped})
+	tw, err := trace.NewWriter(w, trace.Header{Config: r.config, Dropped: dropped, Outputs: true})
 	if err != nil {
 		return err
 	}
@@ -85,7 +102,21 @@
 
 // bodyBytes estimates the memory that a record keeps alive.
 func bodyBytes(rec *trace.Record) int {
-	n := 0
+	n := outputBytes * len(rec.Outputs)
+	for _, out := range rec.Outputs {
+		switch out := out.(type) {
+		case model.SendTarget:
+			n += len(out.Body)
+		case model.SendPeer:
+			n += messageBytes(out.Message)
+		case model.BookAnswer:
+			n += len(out.Body)
+		case model.SearchAnswer:
+			for i := range out.Parts {
+				n += len(out.Parts[i].Body)
+			}
+		}
+	}
 	for _, in := range rec.Inputs {
 		switch in := in.(type) {
 		case model.SearchCall:
