fleet: take a lead release from the last lead only

Cause: a release that arrives before this instance leads the target was kept for 2 s whoever sent it. If the lead was lost in that time, this instance began to send without the handover wait on the word of an earlier lead. Change: the release counts only if its sender led the target until then.

--- a/core/fleet/leads.go
+++ b/core/fleet/leads.go
@@ -273,7 +273,8 @@
 		f.setHold(t, holdActive)
 	case before == nil && f.firstLeads:
 		f.setHold(t, holdActive)
-	case t.releasedAt > 0 && f.now-t.releasedAt <= releaseMemory:
+	case t.releasedAt > 0 && t.releasedBy == before && f.now-t.releasedAt <= releaseMemory:
+		// A release of an earlier lead says nothing about the work of the last.
 		f.setHold(t, holdActive)
 	default:
 		f.waitForHandover(t)
@@ -382,7 +383,7 @@
 			t.passUntil = 0
 			f.release(t, t.lead, r.Incarnation, r.Level)
 		default:
-			t.releasedAt = f.now
+			t.releasedAt, t.releasedBy = f.now, m
 		}
 	}
 }
--- a/core/fleet/probes.go
+++ b/core/fleet/probes.go
@@ -31,6 +31,7 @@
 
 	waitingSince time.Duration // start of holdWaiting
 	releasedAt   time.Duration // release that came before the lead, 0 if none
+	releasedBy   *member
 	passUntil    time.Duration // until when a release is passed on
 
 	probeDue  time.Duration // next probe, 0 if none is planned
