--- a/testbed/cell/cell.go
+++ b/testbed/cell/cell.go
@@ -85,6 +85,7 @@
 	if err := spec.Validate(); err != nil {
 		return nil, err
 	}
+	spec.network = nextNetwork()
 	c := &Cell{Spec: spec, Targets: make(map[string]*TargetProcess)}
 	if err := c.start(ctx); err != nil {
 		c.Kill()
@@ -172,7 +173,7 @@
 
 // prepareInstance writes the settings of an instance.
 func (c *Cell) prepareInstance(i int) (*Instance, error) {
-	host := fmt.Sprintf("127.78.%d.%d", i/250+1, i%250+1)
+	host := fmt.Sprintf("127.%d.250.%d", c.Spec.network, i+1)
 	ports, err := freeAddresses(host, 2)
 	if err != nil {
 		return nil, err
--- a/testbed/cell/layout.go
+++ b/testbed/cell/layout.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"galenadyke.dev/core/objects"
@@ -27,7 +29,7 @@
 		// Each target has a loopback address of its own; the kernel chooses
 		// the port.
 		name := s.Places[place]
-		t.Address = fmt.Sprintf("127.77.%d.%d:0", place+1, len(byPlace[name])+1)
+		t.Address = fmt.Sprintf("127.%d.%d.%d:0", s.network, place+1, len(byPlace[name])+1)
 		if partitions != nil {
 			t.Versions = []target.Version{{Version: IndexVersion, Total: s.Groups * s.Partitions, Partitions: partitions}}
 		}
@@ -102,3 +104,17 @@
 
 // startTimeout bounds the start of one process.
 const startTimeout = 10 * time.Second
+
+// The second numbers of the loopback addresses. Each cell takes the next one,
+// and each program starts elsewhere, so that a port that the kernel has chosen
+// for one cell is hardly ever taken by another before its process listens.
+const (
+	firstNetwork = 64
+	networks     = 128
+)
+
+var cells atomic.Int64
+
+func nextNetwork() int {
+	return firstNetwork + int((int64(os.Getpid())+cells.Add(1))%networks)
+}
--- a/testbed/cell/spec.go
+++ b/testbed/cell/spec.go
@@ -49,6 +49,9 @@
 	// OwnEndpoints gives each instance its own endpoint of the platform, so
 	// that faults can differ between them.
 	OwnEndpoints bool
+
+	// network is the second number of the loopback addresses.
+	network int
 }
 
 // DefaultSpec returns a small cell in two data centres.
