Test that every policy can serve

Under no-sharing, instances could stay without active leads. The test starts a deployment for each policy and waits for full coverage at each entry.

--- a/testbed/e2e/e2e_test.go
+++ b/testbed/e2e/e2e_test.go
@@ -13,6 +13,7 @@
 
 	"galenadyke.dev/core/objects"
 	"galenadyke.dev/ctl/load"
+	"galenadyke.dev/testbed/bench"
 	"galenadyke.dev/testbed/cell"
 	"galenadyke.dev/testbed/demo"
 	"galenadyke.dev/testbed/platform"
@@ -146,6 +147,24 @@
 	return len(p), nil
 }
 
+// Guards against a policy under which an instance never begins to serve its
+// targets, so that a comparison with it says nothing.
+func TestEveryPolicyAnswers(t *testing.T) {
+	t.Parallel()
+	for _, policy := range bench.AllPolicies {
+		t.Run(string(policy), func(t *testing.T) {
+			t.Parallel()
+			s := spec(t)
+			s.Policy, s.Instances, s.Groups = policy, 4, 8
+			c, err := cell.Start(t.Context(), s)
+			must(t, err)
+			t.Cleanup(c.Kill)
+			must(t, c.AwaitComplete(t.Context(), recoveryBound))
+			must(t, c.Stop())
+		})
+	}
+}
+
 // Guards against a crashed instance whose targets stay without a lead, whose
 // bookings run twice, or whose loss makes calls at other instances fail.
 func TestDaemonKilled(t *testing.T) {
