--- a/core/fleet/readiness.go
+++ b/core/fleet/readiness.go
@@ -41,11 +41,6 @@
 		}
 		f.ready = now
 		f.changes.Readiness = true
-		// Lead.Active depends on readiness, and the data plane reads it only
-		// for targets that are listed as changed.
-		for _, t := range f.self.leads {
-			f.touch(t)
-		}
 	}
 	r := model.Ready{Ready: now.OK, Reason: reason}
 	if f.stopPhase != stopNone {
