--- a/ctl/cmd/galenadyke/load.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package main
-
-import (
-	"github.com/google/subcommands"
-
-	"galenadyke.dev/ctl/load"
-)
-
-func init() { subcommands.Register(load.NewCommand(), "measurement") }
--- a/ctl/cmd/galenadyke/main.go
+++ b/ctl/cmd/galenadyke/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 
 	"galenadyke.dev/ctl/command"
+	"galenadyke.dev/ctl/load"
 )
 
 func main() { os.Exit(run()) }
@@ -17,5 +18,6 @@
 	env := command.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
 	commands := command.All(env)
 	// Commands of other packages are appended here, one line each.
+	commands = append(commands, load.NewCommand())
 	return command.Run(ctx, env, os.Args[1:], commands...)
 }
