Test a data centre that leaves and returns cold, and a paused owner

The weekend's move is what the tier is for: under load, no target of a place that left may get work later than 3 s after the publication, its targets come back cold and must not get more than they bear, and no caller may see a refusal or a partial answer. A paused instance must not run its booking a second time when it wakes.

--- a/testbed/cell/cell.go
+++ b/testbed/cell/cell.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -438,6 +439,9 @@
 	})
 }
 
+// TargetsIn returns the names of the targets in a data centre.
+func (c *Cell) TargetsIn(place string) []string { return slices.Clone(c.Targets[place].names) }
+
 func (c *Cell) eachTargetProcess(f func(*TargetProcess) error) error {
 	for _, place := range c.Spec.Places {
 		if tp := c.Targets[place]; tp != nil {
--- a/testbed/e2e/e2e_test.go
+++ b/testbed/e2e/e2e_test.go
@@ -17,6 +17,7 @@
 	"galenadyke.dev/testbed/cell"
 	"galenadyke.dev/testbed/demo"
 	"galenadyke.dev/testbed/platform"
+	"galenadyke.dev/testbed/target"
 )
 
 const (
@@ -190,9 +191,9 @@
 		if err != nil {
 			return err
 		}
-		for _, target := range s.Targets {
-			if target.Lead == victim.ID || target.Lead == "" {
-				return fmt.Errorf("%s is led by %q", target.Name, target.Lead)
+		for _, one := range s.Targets {
+			if one.Lead == victim.ID || one.Lead == "" {
+				return fmt.Errorf("%s is led by %q", one.Name, one.Lead)
 			}
 		}
 		return nil
@@ -213,8 +214,15 @@
 	c := start(t)
 	paused := c.Instances[0]
 	left := paused.Place // its own data centre, where it leads all targets
+	id, err := cell.BookingID(t.Context(), paused.Entry)
+	must(t, err)
 	wait := startLoad(t, c, c.Entries()[1:], recoveryBound+inForceBound)
 	must(t, paused.Signal(syscall.SIGSTOP))
+	// Only the paused instance may run this booking.
+	during, err := cell.Book(t.Context(), c.Instances[1].Entry, id, "{}", 500*time.Millisecond)
+	if err != nil || during.Error == nil || during.Error.Execution == "ran" {
+		t.Errorf("booking of a paused owner: %+v %v, want an error", during, err)
+	}
 	must(t, c.Publish(t.Context(), func(s *objects.Set) { s.Orders[0].InForce = 1 }))
 	must(t, cell.Await(t.Context(), inForceBound, func() error {
 		for _, in := range c.Instances[1:] {
@@ -248,16 +256,89 @@
 	must(t, c.AwaitInForce(t.Context(), inForceBound))
 	must(t, c.AwaitComplete(t.Context(), recoveryBound))
 	checkLoad(t, wait())
+	checkNoWork(t, c, left, "after")
+	checkPeaks(t, c)
+	repeat, err := cell.Book(t.Context(), paused.Entry, id, "{}", time.Second)
+	must(t, err)
+	if n := runs(t, c, id); n > 1 || (repeat.Execution == "ran" && n != 1) {
+		t.Errorf("booking %s ran %d times; the last answer is %+v", id, n, repeat)
+	}
+}
+
+// runs returns how often a booking ran at all targets.
+func runs(t *testing.T, c *cell.Cell, id string) int {
+	t.Helper()
+	counts, err := c.Counts(t.Context())
+	must(t, err)
+	n := 0
+	for _, one := range counts {
+		n += one.Bookings[id]
+	}
+	return n
+}
+
+// checkNoWork requires that no target of the place got work after the mark.
+func checkNoWork(t *testing.T, c *cell.Cell, place, mark string) {
+	t.Helper()
 	counts, err := c.Counts(t.Context())
 	must(t, err)
 	for _, g := range c.Set.Groups {
-		for _, target := range g.Targets {
-			if n := counts[target.Name].RequestsByMark["after"]; target.Place == left && n > 0 {
-				t.Errorf("%s in %s got %d requests after it left", target.Name, left, n)
+		for _, one := range g.Targets {
+			if n := counts[one.Name].RequestsByMark[mark]; one.Place == place && n > 0 {
+				t.Errorf("%s in %s got %d requests after it left", one.Name, place, n)
 			}
 		}
 	}
-	checkPeaks(t, c)
+}
+
+// awaitRequests waits until the targets together got n requests after a mark.
+func awaitRequests(t *testing.T, c *cell.Cell, names []string, mark string, n int) {
+	t.Helper()
+	must(t, cell.Await(t.Context(), recoveryBound, func() error {
+		counts, err := c.Counts(t.Context())
+		got := 0
+		for _, name := range names {
+			got += counts[name].RequestsByMark[mark]
+		}
+		if err == nil && got < n {
+			err = fmt.Errorf("%d requests after the mark %s, want %d", got, mark, n)
+		}
+		return err
+	}))
+}
+
+// Guards against callers that notice a data centre leave and return, against
+// work for it later than 3 s after the publication, and against more work than
+// its targets sustain when they come back cold.
+func TestDataCentreLeavesAndReturnsCold(t *testing.T) {
+	t.Parallel()
+	c := start(t)
+	left := c.Spec.Places[0]
+	wait := startLoad(t, c, c.Entries(), 10*time.Second)
+	published := time.Now()
+	must(t, c.PublishStepsInForce(t.Context(), 1))
+	must(t, c.AwaitInForce(t.Context(), inForceBound))
+	time.Sleep(time.Until(published.Add(inForceBound))) // the stated bound
+	must(t, c.Mark(t.Context(), "out"))
+	names := c.TargetsIn(left)
+	must(t, c.Change(t.Context(), target.Change{Targets: names, RestartCold: true}))
+	awaitRequests(t, c, c.TargetsIn(c.Spec.Places[1]), "out", 40)
+	checkNoWork(t, c, left, "out")
+	must(t, c.Mark(t.Context(), "back"))
+	must(t, c.PublishStepsInForce(t.Context(), 2))
+	awaitRequests(t, c, names, "back", len(names))
+	r := wait()
+	checkLoad(t, r)
+	if r.Refused > 0 || r.Searches.Complete != r.Searches.Answered {
+		t.Errorf("%d refused, %d of %d complete: %+v", r.Refused, r.Searches.Complete, r.Searches.Answered, r.Refusals)
+	}
+	counts, err := c.Counts(t.Context())
+	must(t, err)
+	for _, name := range names {
+		if one := counts[name]; one.MaxExcess > 0 || one.FailOvers > 0 {
+			t.Errorf("%s had %d requests more at once than it bore, %d fail-overs", name, one.MaxExcess, one.FailOvers)
+		}
+	}
 }
 
 // Guards against a tier that stops answering while the configuration service
