Let a watch see a change of an endpoint's own value

The index of a value that only one endpoint answers stayed the same when the value changed, so that a blocking query waited until its end. It now rises with each change of the faults. go test -count=2 ./testbed/platform passes.

--- a/testbed/platform/endpoint.go
+++ b/testbed/platform/endpoint.go
@@ -27,6 +27,7 @@
 	mu        sync.Mutex
 	faults    Faults
 	recovered chan struct{} // closed when faults change
+	changes   uint64        // of the faults
 	frozen    map[string]item
 	counts    Counts
 }
@@ -67,6 +68,7 @@
 		e.store.mu.Unlock()
 	}
 	e.faults = f
+	e.changes++
 	close(e.recovered)
 	e.recovered = make(chan struct{})
 }
@@ -87,9 +89,10 @@
 		changed = nil
 	}
 	if own, has := e.faults.Own[key]; has {
-		// A value of its own gets an index above the shared one, so that a
-		// watch sees it.
-		it, ok = item{value: []byte(own), index: it.index + 1}, true
+		// A value of its own gets an index that rises with each change of the
+		// faults, so that a watch sees it. It falls back to the shared index
+		// with the end of the fault, as Consul's does after a restore.
+		it, ok = item{value: []byte(own), index: it.index + e.changes}, true
 	}
 	return it, ok, changed
 }
--- a/testbed/platform/platform_test.go
+++ b/testbed/platform/platform_test.go
@@ -93,6 +93,11 @@
 	if a, b := get(s, 0, "/v1/kv/set?raw"), get(s, 1, "/v1/kv/set?raw"); a.body != "one" || b.body != "other" {
 		t.Fatalf("stale endpoint %+v, endpoint with its own value %+v", a, b)
 	}
+	index = get(s, 1, "/v1/kv/set?raw").index
+	put(t, s, "/v1/faults", `{"endpoints":[1],"faults":{"own":{"set":"third"}}}`)
+	if got := get(s, 1, "/v1/kv/set?raw&wait=10s&index="+index); got.body != "third" {
+		t.Fatalf("watch over a change of the endpoint's own value: %+v", got)
+	}
 }
 
 // Guards against a list that lacks what an instance needs to reach another.
