Use the operator's client in the testbed and split the cell package

The cell had its own copy of the callers' forms, and one file did everything. It now uses ctl/client and has a file for each job.

--- a/testbed/bench/run.go
+++ b/testbed/bench/run.go
@@ -116,7 +116,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.AwaitComplete(ctx, settleBound); err != nil {
+	err = c.AwaitComplete(ctx, settleBound)
+	if err == nil {
+		err = c.AwaitTargets(ctx, settleBound)
+	}
+	if err != nil {
 		c.Kill()
 		return nil, err
 	}
--- /dev/null
+++ b/testbed/cell/processes.go
@@ -0,0 +1,127 @@
+package cell
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"galenadyke.dev/core/model"
+	"galenadyke.dev/ctl/client"
+	"galenadyke.dev/testbed/proc"
+	"galenadyke.dev/testbed/target"
+	"galenadyke.dev/testbed/units"
+)
+
+// settingsFile is the JSON form of a daemon's settings.
+type settingsFile struct {
+	Instance         string         `json:"instance"`
+	Place            string         `json:"place"`
+	HTTPListen       string         `json:"http_listen"`
+	GRPCListen       string         `json:"grpc_listen"`
+	ConfigURL        string         `json:"config_url"`
+	ConfigKey        string         `json:"config_key"`
+	InstancesURL     string         `json:"instances_url"`
+	InstancesService string         `json:"instances_service"`
+	Policy           model.Policy   `json:"policy"`
+	Seed             uint64         `json:"seed"`
+	FixedHedgeDelay  units.Duration `json:"fixed_hedge_delay"`
+	BalancerDelay    units.Duration `json:"balancer_delay"`
+	StopTimeout      units.Duration `json:"stop_timeout"`
+	LogLevel         string         `json:"log_level"`
+}
+
+func (c *Cell) startPlatform(name string, endpoints int) (*Platform, error) {
+	listen := strings.TrimSuffix(strings.Repeat("127.0.0.1:0,", endpoints), ",")
+	p, err := proc.Start(c.Spec.Dir, name, filepath.Join(c.Spec.Bin, "testbed-platform"), "-listen", listen)
+	if err != nil {
+		return nil, err
+	}
+	pl := &Platform{Process: p}
+	return pl, p.ReadJSON(startTimeout, &pl.started)
+}
+
+func (c *Cell) startTargets(place string, targets []target.Config, addresses map[string]string) error {
+	path := filepath.Join(c.Spec.Dir, "targets-"+place+".json")
+	if err := writeJSON(path, target.ProcessConfig{Control: "127.0.0.1:0", Targets: targets}); err != nil {
+		return err
+	}
+	p, err := proc.Start(c.Spec.Dir, "targets-"+place, filepath.Join(c.Spec.Bin, "testbed-target"), "-config", path)
+	if err != nil {
+		return err
+	}
+	tp := &TargetProcess{Process: p}
+	c.Targets[place] = tp
+	var started target.Started
+	if err := p.ReadJSON(startTimeout, &started); err != nil {
+		return err
+	}
+	tp.control = "http://" + started.Control
+	for _, t := range targets {
+		tp.names = append(tp.names, t.Name)
+		addresses[t.Name] = started.Targets[t.Name]
+	}
+	return nil
+}
+
+// prepareInstance writes the settings of an instance.
+func (c *Cell) prepareInstance(i int) (*Instance, error) {
+	host := fmt.Sprintf("127.%d.250.%d", c.Spec.network, i+1)
+	ports, err := freeAddresses(host, 2)
+	if err != nil {
+		return nil, err
+	}
+	caller, err := client.New(ports[0])
+	if err != nil {
+		return nil, err
+	}
+	in := &Instance{
+		ID: fmt.Sprintf("entry-%d", i+1), Place: c.Spec.Places[i%len(c.Spec.Places)],
+		Entry: "http://" + ports[0], peer: ports[1], caller: caller,
+	}
+	if c.Spec.OwnEndpoints {
+		in.platform = i
+	}
+	in.settings = filepath.Join(c.Spec.Dir, in.ID+".json")
+	return in, writeJSON(in.settings, settingsFile{
+		Instance: in.ID, Place: in.Place, HTTPListen: ports[0], GRPCListen: in.peer,
+		ConfigURL: "http://" + c.Config.started.Endpoints[in.platform], ConfigKey: configKey,
+		InstancesURL: "http://" + c.List.started.Endpoints[in.platform], InstancesService: serviceName,
+		Policy: c.Spec.Policy, Seed: c.Spec.Seed + uint64(i), FixedHedgeDelay: c.Spec.FixedHedgeDelay,
+		BalancerDelay: c.Spec.BalancerDelay, StopTimeout: c.Spec.StopTimeout, LogLevel: c.Spec.LogLevel,
+	})
+}
+
+// StartInstance starts a daemon, also one that has ended.
+func (c *Cell) StartInstance(in *Instance) error {
+	p, err := proc.Start(c.Spec.Dir, in.ID, filepath.Join(c.Spec.Bin, "galenadyked"), "run", "--settings", in.settings)
+	if err != nil {
+		return err
+	}
+	in.Process = p
+	return nil
+}
+
+// freeAddresses asks the kernel for free ports of an address.
+func freeAddresses(host string, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }() // all stay open until the last is chosen
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func writeJSON(path string, v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, raw, 0o600)
+}
--- /dev/null
+++ b/testbed/cell/publish.go
@@ -0,0 +1,52 @@
+package cell
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+
+	"galenadyke.dev/core/objects"
+	"galenadyke.dev/testbed/platform"
+)
+
+// Publish publishes the set with the next generation after edit has changed
+// it.
+func (c *Cell) Publish(ctx context.Context, edit func(*objects.Set)) error {
+	edit(c.Set)
+	c.generation++
+	raw, err := objects.Bundle(c.Set, c.generation)
+	if err != nil {
+		return err
+	}
+	set, findings := objects.Parse(raw)
+	if len(findings) > 0 {
+		return fmt.Errorf("the bundle does not pass the check: %v", findings)
+	}
+	c.Set.Generation, c.Set.Digest = set.Generation, set.Digest
+	return c.PublishRaw(ctx, raw)
+}
+
+// PublishRaw publishes bytes that need not be a set.
+func (c *Cell) PublishRaw(ctx context.Context, raw []byte) error {
+	return callRaw(ctx, http.MethodPut, "http://"+c.Config.started.Control+"/v1/publish/"+configKey, bytes.NewReader(raw), nil)
+}
+
+// PublishStepsInForce publishes the set with n steps of its order in force.
+func (c *Cell) PublishStepsInForce(ctx context.Context, n int) error {
+	return c.Publish(ctx, func(s *objects.Set) { s.Orders[0].InForce = n })
+}
+
+// PublishInstances puts all instances that are not marked as leaving on the
+// platform's list, and those as leaving.
+func (c *Cell) PublishInstances(ctx context.Context, leaving ...*Instance) error {
+	list := make([]platform.Instance, 0, len(c.Instances))
+	for _, in := range c.Instances {
+		entry := platform.Instance{ID: in.ID, Address: in.peer, Place: in.Place}
+		for _, l := range leaving {
+			entry.Leaving = entry.Leaving || l == in
+		}
+		list = append(list, entry)
+	}
+	return call(ctx, http.MethodPut, "http://"+c.List.started.Control+"/v1/instances/"+serviceName, list, nil)
+}
--- a/testbed/demo/demo.go
+++ b/testbed/demo/demo.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"galenadyke.dev/ctl/client"
 	"galenadyke.dev/testbed/cell"
 )
 
@@ -71,40 +72,45 @@
 	if err := d.cell.AwaitComplete(ctx, warmBound); err != nil {
 		return err
 	}
+	if err := d.cell.AwaitTargets(ctx, warmBound); err != nil {
+		return err
+	}
 	return d.answers(ctx, "first")
 }
 
 // answers sends a search and a booking to each instance and prints them.
 func (d *demo) answers(ctx context.Context, name string) error {
 	for i, in := range d.cell.Instances {
-		answer, err := d.search(ctx, in.Entry, fmt.Sprintf("%s-%d", name, i+1))
+		answer, err := d.search(ctx, in, fmt.Sprintf("%s-%d", name, i+1))
 		if err != nil {
 			return err
 		}
 		d.say("search at %s: snapshot %d, coverage %d of %d, %d parts, %d hedges, %d retries, %.1f ms",
 			in.ID, answer.Snapshot, answer.Coverage.Searched, answer.Coverage.Total,
-			len(answer.Parts), answer.Stats.Hedges, answer.Stats.Retries, answer.ElapsedMs)
+			len(answer.Parts), answer.Stats.Hedges, answer.Stats.Retries, answer.ElapsedMS)
 	}
 	return d.book(ctx)
 }
 
 // search requires a complete answer to its own request.
-func (d *demo) search(ctx context.Context, entry, id string) (cell.SearchAnswer, error) {
-	answer, err := cell.Search(ctx, entry, id, fmt.Sprintf("{\"text\":%q}", id), searchBudget)
+func (d *demo) search(ctx context.Context, in *cell.Instance, id string) (*client.SearchAnswer, error) {
+	answer, err := in.Search(ctx, id, fmt.Sprintf("{\"text\":%q}", id), searchBudget)
 	switch {
 	case err != nil:
-		return answer, err
-	case answer.Error != nil:
-		return answer, answer.Error
+		return nil, err
 	case answer.Snapshot != cell.IndexVersion:
-		return answer, fmt.Errorf("search %s: snapshot %d, want %d", id, answer.Snapshot, cell.IndexVersion)
+		return nil, fmt.Errorf("search %s: snapshot %d, want %d", id, answer.Snapshot, cell.IndexVersion)
 	case answer.Coverage.Fraction != 1 || len(answer.Parts) != d.cell.Spec.Groups:
-		return answer, fmt.Errorf("search %s: coverage %d of %d, missing %v", id,
+		return nil, fmt.Errorf("search %s: coverage %d of %d, missing %v", id,
 			answer.Coverage.Searched, answer.Coverage.Total, answer.Coverage.Missing)
 	}
 	for _, part := range answer.Parts {
-		if part.Result.RequestID != id {
-			return answer, fmt.Errorf("search %s: the part of %s answers request %q", id, part.Group, part.Result.RequestID)
+		result, err := cell.ResultOf(part.Result)
+		if err != nil {
+			return nil, fmt.Errorf("search %s: the part of %s: %w", id, part.Group, err)
+		}
+		if result.RequestID != id {
+			return nil, fmt.Errorf("search %s: the part of %s answers request %q", id, part.Group, result.RequestID)
 		}
 	}
 	return answer, nil
@@ -113,21 +119,18 @@
 // book runs a booking at one instance and repeats it at the other.
 func (d *demo) book(ctx context.Context) error {
 	first, second := d.cell.Instances[0], d.cell.Instances[len(d.cell.Instances)-1]
-	id, err := cell.BookingID(ctx, first.Entry)
+	id, err := first.BookingID(ctx)
 	if err != nil {
 		return err
 	}
 	for i, in := range []*cell.Instance{first, second} {
-		answer, err := cell.Book(ctx, in.Entry, id, `{"sku":"iroko-40"}`, bookingBudget)
+		answer, err := in.Book(ctx, id, `{"sku":"iroko-40"}`, bookingBudget)
 		if err != nil {
 			return err
 		}
-		if answer.Error != nil {
-			return answer.Error
-		}
 		d.say("booking %s at %s: %s at %s, repeat %v, %.1f ms", id, in.ID,
-			answer.Execution, answer.Target, answer.Repeat, answer.ElapsedMs)
-		if answer.Execution != "ran" || answer.Repeat != (i == 1) {
+			answer.Execution, answer.Target, answer.Repeat, answer.ElapsedMS)
+		if answer.Execution != client.Ran || answer.Repeat != (i == 1) {
 			return fmt.Errorf("booking %s at %s: execution %s, repeat %v", id, in.ID, answer.Execution, answer.Repeat)
 		}
 	}
--- a/testbed/e2e/e2e_test.go
+++ b/testbed/e2e/e2e_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -12,6 +13,7 @@
 	"time"
 
 	"galenadyke.dev/core/objects"
+	"galenadyke.dev/ctl/client"
 	"galenadyke.dev/ctl/load"
 	"galenadyke.dev/testbed/bench"
 	"galenadyke.dev/testbed/cell"
@@ -72,6 +74,7 @@
 	}
 	t.Cleanup(c.Kill)
 	must(t, c.AwaitComplete(t.Context(), recoveryBound))
+	must(t, c.AwaitTargets(t.Context(), recoveryBound))
 	return c
 }
 
@@ -172,18 +175,19 @@
 	t.Parallel()
 	c := start(t)
 	victim := c.Instances[0]
-	id, err := cell.BookingID(t.Context(), victim.Entry)
+	id, err := victim.BookingID(t.Context())
 	must(t, err)
-	first, err := cell.Book(t.Context(), victim.Entry, id, "{}", time.Second)
-	if err != nil || first.Execution != "ran" {
-		t.Fatalf("booking: %+v %v", first, err)
+	first, err := victim.Book(t.Context(), id, "{}", time.Second)
+	must(t, err)
+	if first.Execution != client.Ran {
+		t.Fatalf("booking: %+v", first)
 	}
 	wait := startLoad(t, c, c.Entries()[1:], recoveryBound)
 	victim.Kill()
 
 	// The owner of the id is gone, so that nobody knows whether it ran.
-	repeat, err := cell.Book(t.Context(), c.Instances[1].Entry, id, "{}", time.Second)
-	if err != nil || repeat.Error == nil || repeat.Error.Execution != "unknown" {
+	repeat, err := c.Instances[1].Book(t.Context(), id, "{}", time.Second)
+	if executionOf(err) != client.Unknown {
 		t.Errorf("repeat of a booking whose owner is gone: %+v %v, want unknown", repeat, err)
 	}
 	must(t, cell.Await(t.Context(), recoveryBound, func() error {
@@ -214,15 +218,16 @@
 	c := start(t)
 	paused := c.Instances[0]
 	left := paused.Place // its own data centre, where it leads all targets
-	id, err := cell.BookingID(t.Context(), paused.Entry)
+	id, err := paused.BookingID(t.Context())
 	must(t, err)
 	wait := startLoad(t, c, c.Entries()[1:], recoveryBound+inForceBound)
 	must(t, paused.Signal(syscall.SIGSTOP))
 	// Only the paused instance may run this booking.
-	during, err := cell.Book(t.Context(), c.Instances[1].Entry, id, "{}", 500*time.Millisecond)
-	if err != nil || during.Error == nil || during.Error.Execution == "ran" {
-		t.Errorf("booking of a paused owner: %+v %v, want an error", during, err)
+	during, err := c.Instances[1].Book(t.Context(), id, "{}", 500*time.Millisecond)
+	if err == nil {
+		t.Errorf("booking of a paused owner: %+v, want an error", during)
 	}
+	notRun := executionOf(err) == client.NotRun
 	must(t, c.Publish(t.Context(), func(s *objects.Set) { s.Orders[0].InForce = 1 }))
 	must(t, cell.Await(t.Context(), inForceBound, func() error {
 		for _, in := range c.Instances[1:] {
@@ -248,21 +253,31 @@
 	must(t, c.Mark(t.Context(), "after"))
 	must(t, paused.Signal(syscall.SIGCONT))
 	// A caller is waiting at the instance when it wakes.
-	answer, err := cell.Search(t.Context(), paused.Entry, "woken", "{}", time.Second)
-	must(t, err)
-	if answer.Error != nil && answer.Error.Execution != "not_run" {
-		t.Errorf("first answer after the pause: %+v", answer.Error)
+	if _, err := paused.Search(t.Context(), "woken", "{}", time.Second); err != nil && executionOf(err) != client.NotRun {
+		t.Errorf("first answer after the pause: %v", err)
 	}
 	must(t, c.AwaitInForce(t.Context(), inForceBound))
 	must(t, c.AwaitComplete(t.Context(), recoveryBound))
 	checkLoad(t, wait())
 	checkNoWork(t, c, left, "after")
 	checkPeaks(t, c)
-	repeat, err := cell.Book(t.Context(), paused.Entry, id, "{}", time.Second)
-	must(t, err)
-	if n := runs(t, c, id); n > 1 || (repeat.Execution == "ran" && n != 1) {
-		t.Errorf("booking %s ran %d times; the last answer is %+v", id, n, repeat)
+	if n := runs(t, c, id); n > 0 && notRun {
+		t.Errorf("booking %s ran after it was answered as not run", id)
+	}
+	repeat, err := paused.Book(t.Context(), id, "{}", time.Second)
+	n := runs(t, c, id)
+	if n > 1 || (err == nil && n != 1) || (executionOf(err) == client.NotRun && n != 0) {
+		t.Errorf("booking %s ran %d times; the last answer is %+v, %v", id, n, repeat, err)
+	}
+}
+
+// executionOf returns what an error tells about the call, empty for none.
+func executionOf(err error) client.Execution {
+	var e *client.Error
+	if errors.As(err, &e) {
+		return e.Execution
 	}
+	return ""
 }
 
 // runs returns how often a booking ran at all targets.
