Refuse arguments that the testbed's commands do not know

testbed-bench help started the whole measurement, because an argument without a dash was ignored. The commands now name the argument and exit with status 2.

--- a/testbed/cmd/testbed-bench/main.go
+++ b/testbed/cmd/testbed-bench/main.go
@@ -42,6 +42,10 @@
 	flag.Float64Var(&o.BareRate, "bare-rate", o.BareRate, "searches per second of the client without any policy")
 	flag.Uint64Var(&o.Seed, "seed", o.Seed, "seed of load and targets")
 	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "testbed-bench: unexpected argument %q; -help lists the options\n", flag.Arg(0))
+		os.Exit(2)
+	}
 	o.Spec.Target.Service.Mean = units.Duration(service)
 	o.Spec.Seed = o.Seed
 	o.Policies = split[model.Policy](policies)
--- a/testbed/cmd/testbed-demo/main.go
+++ b/testbed/cmd/testbed-demo/main.go
@@ -21,6 +21,10 @@
 func main() {
 	keep := flag.Bool("keep", false, "keep settings and logs")
 	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "testbed-demo: unexpected argument %q; -help lists the options\n", flag.Arg(0))
+		os.Exit(2)
+	}
 	if err := run(*keep); err != nil {
 		fmt.Fprintln(os.Stderr, "testbed-demo:", err)
 		os.Exit(1)
--- a/testbed/cmd/testbed-platform/main.go
+++ b/testbed/cmd/testbed-platform/main.go
@@ -21,6 +21,10 @@
 	control := flag.String("control", "127.0.0.1:0", "address of the control endpoint")
 	listen := flag.String("listen", "127.0.0.1:0", "addresses of the endpoints, separated by commas")
 	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "testbed-platform: unexpected argument %q; -help lists the options\n", flag.Arg(0))
+		os.Exit(2)
+	}
 	if err := run(platform.Config{Control: *control, Listen: strings.Split(*listen, ",")}); err != nil {
 		fmt.Fprintln(os.Stderr, "testbed-platform:", err)
 		os.Exit(1)
--- a/testbed/cmd/testbed-target/main.go
+++ b/testbed/cmd/testbed-target/main.go
@@ -18,6 +18,10 @@
 func main() {
 	path := flag.String("config", "", "settings file (JSON)")
 	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "testbed-target: unexpected argument %q; -help lists the options\n", flag.Arg(0))
+		os.Exit(2)
+	}
 	if err := run(*path); err != nil {
 		fmt.Fprintln(os.Stderr, "testbed-target:", err)
 		os.Exit(1)
