--- a/testbed/target/target_test.go
+++ b/testbed/target/target_test.go
@@ -164,3 +164,72 @@
 		}
 	}
 }
+
+func health(t *testing.T, s *Server) healthAnswer {
+	t.Helper()
+	answer, err := http.Get("http://" + s.started.Targets["a"] + "/v1/health")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var h healthAnswer
+	if err := json.NewDecoder(answer.Body).Decode(&h); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// Guards against a health report that follows the truth although it is set to
+// lag or to lie.
+func TestReportsLagAndLie(t *testing.T) {
+	s := start(t, func(c *Config) { c.Report.Lag = units.Duration(time.Hour) })
+	health(t, s)
+	yes := true
+	s.targets[0].change(Change{Drain: &yes, RestartCold: true, Quiet: true})
+	if h := health(t, s); h.Draining || h.Incarnation != 1 {
+		t.Errorf("report with a lag of an hour: %+v, want that of the start", h)
+	}
+	s.targets[0].change(Change{Report: &Report{Lie: true, InFlight: 40, Queued: 2}})
+	if h := health(t, s); h.Load != (loadReport{40, 2}) || !h.Draining || h.Incarnation != 2 {
+		t.Errorf("report with a false load: %+v", h)
+	}
+}
+
+// Guards against versions that cannot change under running queries.
+func TestVersionsChange(t *testing.T) {
+	s := start(t, func(*Config) {})
+	s.targets[0].change(Change{AddVersion: &Version{Version: 8, Total: 4, Partitions: []uint32{3}}})
+	s.targets[0].change(Change{AddVersion: &Version{Version: 7, Total: 8, Partitions: []uint32{1, 2, 5}}})
+	if h := health(t, s); fmt.Sprint(h.Versions) != "[{7 8 [1 2 5]} {8 4 [3]}]" {
+		t.Errorf("versions %v", h.Versions)
+	}
+	s.targets[0].change(Change{Retire: 7})
+	if status, _ := send(t.Context(), s, "/v1/search"); status != 409 {
+		t.Errorf("search of a retired version: %d, want 409", status)
+	}
+}
+
+// Guards against a link or a new connection that costs nothing, and against
+// connections above the limit.
+func TestLinkAndConnections(t *testing.T) {
+	s := start(t, func(c *Config) {
+		c.Service.Mean, c.Connections = 0, 1
+		c.ConnectTime = units.Duration(30 * time.Millisecond)
+		c.Link.Delay = units.Duration(20 * time.Millisecond)
+	})
+	began := time.Now()
+	send(t.Context(), s, "/v1/search")
+	if took := time.Since(began); took < 70*time.Millisecond {
+		t.Errorf("the first search took %v, want 30 ms to connect and 20 ms each way", took)
+	}
+	s.targets[0].change(Change{Link: &Link{Loss: 0.999999, Retransmit: units.Duration(time.Minute)}})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if status, _ := send(ctx, s, "/v1/search"); status != 0 {
+		t.Errorf("search over a link that loses packets: %d", status)
+	}
+	s.targets[0].change(Change{Link: &Link{Delay: units.Duration(50 * time.Millisecond)}})
+	if got := together(s, 3); got[0] == 0 || s.Counts().Targets[0].Requests >= 4 {
+		t.Errorf("answers %v over a limit of 1 connection", got)
+	}
+}
