--- a/ctl/cmd/galenadyke/main.go
+++ b/ctl/cmd/galenadyke/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 
 	"galenadyke.dev/ctl/command"
+	"galenadyke.dev/ctl/load"
 	"galenadyke.dev/ctl/replay"
 )
 
@@ -17,7 +18,7 @@
 	defer stop()
 	env := command.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
 	commands := command.All(env)
-	// Commands of other packages are appended here, one line each.
-	commands = append(commands, replay.NewCommand(env))
+	// Commands of other packages are appended here.
+	commands = append(commands, load.NewCommand(), replay.NewCommand(env))
 	return command.Run(ctx, env, os.Args[1:], commands...)
 }
