query: hold the slot of cancelled work until the target has learned of it

A cancelled or expired request gave its slot back when the lead closed the connection; the target learns of that one link delay later, and new work on another connection can overtake it. The stand-in frees its slot before it writes an answer, so completed work is ruled out. Change: the slot of work that ended without the target's answer counts as taken for 10 ms more, which covers 4.5 ms between data centres; a handover waits for it too. Before and after: the new test fails without the delay and passes with it.

--- a/core/query/queue.go
+++ b/core/query/queue.go
@@ -23,12 +23,19 @@
 	most      int // own work in flight at the target while this one ran
 }
 
+// cancelSettle is the time for which the slot of work that ended without the
+// target's answer still counts as taken. The target learns of a cancellation
+// one link delay later, up to 4.5 ms between data centres, while new work on
+// another connection may overtake it.
+const cancelSettle = 10 * time.Millisecond
+
 // leadState is the state of a target at its lead.
 type leadState struct {
-	queue  []int32 // heap by deadline
-	flight []int32
-	timer  int32
-	dirty  bool
+	queue    []int32 // heap by deadline
+	flight   []int32
+	settling []time.Duration // ends of the slots that still count as taken, rising
+	timer    int32
+	dirty    bool
 	warmth
 }
 
@@ -115,15 +122,38 @@
 			e.pump(i)
 		}
 	}
+	if t.draining && t.taken(e.now) == 0 {
+		e.leadDrained(i)
+	}
+	e.setTargetTimer(t)
+}
+
+// setTargetTimer sets the timer to the next time at which queued work expires
+// or a slot has settled.
+func (e *Engine) setTargetTimer(t *target) {
+	at := model.NoWake
 	if len(t.queue) > 0 {
 		first := e.works.at(t.queue[0])
-		e.timers.set(t.timer, first.deadline-e.leastTime(first))
-	} else {
+		at = first.deadline - e.leastTime(first)
+	}
+	if len(t.settling) > 0 && (len(t.queue) > 0 || t.draining) {
+		at = min(at, t.settling[0])
+	}
+	if at == model.NoWake {
 		e.timers.clear(t.timer)
+		return
 	}
-	if t.draining && len(t.flight) == 0 {
-		e.leadDrained(i)
+	e.timers.set(t.timer, at)
+}
+
+// taken is the number of slots that this lead's work may hold at the target.
+func (t *target) taken(now time.Duration) int {
+	n := 0
+	for n < len(t.settling) && t.settling[n] <= now {
+		n++
 	}
+	t.settling = append(t.settling[:0], t.settling[n:]...)
+	return len(t.flight) + len(t.settling)
 }
 
 func (e *Engine) pump(i int32) {
@@ -135,7 +165,7 @@
 			e.workDone(w, outcome{err: model.KindDeadline, execution: model.NotRun})
 			continue
 		}
-		if !t.lead.Active || len(t.flight) >= t.room() {
+		if !t.lead.Active || t.taken(e.now) >= t.room() {
 			return
 		}
 		t.pop(&e.works, 0)
@@ -165,9 +195,10 @@
 	t := &e.targets[w.target]
 	w.inFlight = true
 	t.flight = append(t.flight, i)
+	taken := t.taken(e.now)
 	for _, x := range t.flight {
 		y := e.works.at(x)
-		y.most = max(y.most, len(t.flight))
+		y.most = max(y.most, taken)
 	}
 	e.emit(model.SendTarget{
 		Work: e.workID(i), Target: t.id, Address: t.address,
@@ -192,6 +223,9 @@
 	}
 	if !w.direct {
 		e.learn(w, &in)
+		if in.Execution != model.NotRun && (in.Error == model.KindCancelled || in.Error == model.KindDeadline) {
+			t.settling = append(t.settling, e.now+cancelSettle)
+		}
 	}
 	e.markTarget(w.target)
 	e.workDone(i, outcome{err: in.Error, execution: in.Execution, answer: in.Answer})
--- a/core/query/warm_test.go
+++ b/core/query/warm_test.go
@@ -157,3 +157,34 @@
 		t.Errorf("level %d after a release above the slots", l)
 	}
 }
+
+// Guards against more work at a target than it can sustain after a
+// cancellation: the target learns of it one link delay later, so that new work
+// can overtake it.
+func TestCancelledWorkHoldsItsSlot(t *testing.T) {
+	const linkDelay = 4500 * time.Microsecond // one way between data centres
+	s, n, _ := warmRig(1)
+	var sent []time.Duration
+	s.onSend = func(n *simNode, o model.SendTarget) bool {
+		sent = append(sent, s.now)
+		r := model.TargetReply{Error: model.KindCancelled, Execution: unknown}
+		if len(sent) > 1 {
+			r = model.TargetReply{Error: model.KindTargetShed, Execution: notRun}
+		}
+		s.after(time.Millisecond, func() { s.reply(n, o, r) })
+		return true
+	}
+	for k, id := range n.ids(3) {
+		n.book(model.CallID(k+1), id, time.Second)
+	}
+	s.run(100 * time.Millisecond)
+	if len(sent) != 3 {
+		t.Fatalf("%d sends, want 3", len(sent))
+	}
+	if gap := sent[1] - sent[0]; gap < time.Millisecond+linkDelay {
+		t.Errorf("work sent %v after cancelled work, want at least %v", gap, time.Millisecond+linkDelay)
+	}
+	if gap := sent[2] - sent[1]; gap >= linkDelay {
+		t.Errorf("work sent %v after a refusal, want no delay", gap)
+	}
+}
