Detect large partitions faster and repeat suspicions

In a trial with 510 instances a minority of 204 that lost the service went on for 10.9 s, a healed split had one lead for each target after 3.4 s, and one instance kept a dead member in its ranking for more than 30 s, because all pushes of the suspicion had missed it and no version vector covers it. A silent member now makes an instance ask the next one at once, a message carries up to 96 member changes, and replies repeat suspicions.

--- a/core/fleet/detect.go
+++ b/core/fleet/detect.go
@@ -29,6 +29,11 @@
 			f.send(p, model.PingRequest{Round: m.pingRound, Subject: m.id})
 		}
 		m.pingDue = f.after(view.PingTimeout, timer{kind: timerPing, member: m})
+		// One silent member can be the first sign of a partition. Asking the
+		// next one at once finds the others faster the more of them there are.
+		if next := f.nextPeer(); next != nil {
+			f.sendLight(next)
+		}
 		return
 	}
 	m.pingRound = 0
--- a/core/fleet/exchange.go
+++ b/core/fleet/exchange.go
@@ -317,7 +317,9 @@
 	if s.Incarnation < m.incarnation {
 		number = 0
 	}
-	if m != f.self && (m.heartbeat > number || number == 0) {
+	// A suspicion has no number of its own. It is repeated as long as it lasts,
+	// for a member that all pushes of it have missed.
+	if m != f.self && (m.heartbeat > number || number == 0 || m.health != healthAlive) {
 		reply.Members = append(reply.Members, f.memberState(m))
 	}
 	at := m.origin.last
--- a/core/fleet/limits.go
+++ b/core/fleet/limits.go
@@ -47,7 +47,7 @@
 	seenChunk = 32
 	// maxMemberRumors and maxTargetRumors bound the changes that are pushed in
 	// one message; maxTargetsReply bounds the target states of one reply.
-	maxMemberRumors = 24
+	maxMemberRumors = 96
 	maxTargetRumors = 16
 	maxTargetsReply = 512
 	// helpers is the number of peers that are asked to ping a silent member.
