Rank this instance by its place on the platform's list

Peers know its place from the list only. If its settings named another data centre, the two sides ranked it differently and chose two leads for good. The difference is reported as PlaceMismatch.

--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -201,10 +201,15 @@
 		m.leaving = info.Leaving
 	}
 	if m != f.self {
-		// The settings decide the address and place of this instance itself.
 		m.address = info.Address
-		f.move(m, f.place(info.Place))
 	}
+	if m == f.self && m.place.id != info.Place {
+		f.warn("PlaceMismatch", string(m.id), string(m.place.id), string(info.Place))
+	}
+	// Peers know the place of this instance from the list only. With another
+	// place from its settings, the two sides would rank it differently and
+	// choose two leads.
+	f.move(m, f.place(info.Place))
 	f.updateMember(m)
 	return m
 }
