query: choose replicas whose lead is not in a handover

An entry knew nothing of the handover wait at another instance and sent half of its work to a lead that could not send for up to a second. A target whose lead has changed now counts as in handover for the handover wait after a crash, for 100 ms after a planned move, or until the new lead answers; admission looks at the other replicas.

TestLeadInHandover fails without the change (searches without any answer) and passes with it.

--- a/core/query/admission.go
+++ b/core/query/admission.go
@@ -106,12 +106,17 @@
 // feasible reports whether some replica of the group is expected to answer in
 // time. Version zero stands for a booking.
 func (e *Engine) feasible(g int32, v model.SnapshotVersion, left time.Duration) bool {
+	settled := false
 	for _, i := range e.groups[g].replicas {
 		if v != 0 && !e.serves(i, v) || !e.usable(&e.targets[i]) {
 			continue
 		}
 		// Latency alone refuses nothing: without new calls it would never be
 		// measured again.
+		if e.inHandover(&e.targets[i]) {
+			continue
+		}
+		settled = true
 		limit := left
 		if !e.targets[i].lead.Self {
 			limit = time.Duration(float64(left) * relayShare)
@@ -120,5 +125,6 @@
 			return true
 		}
 	}
-	return false
+	// Nothing is known of the wait if all leads are new.
+	return !settled
 }
--- a/core/query/latency.go
+++ b/core/query/latency.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"galenadyke.dev/core/model"
 )
 
 // reportHalfLife is the age at which a load report or a latency counts half.
@@ -46,7 +48,8 @@
 	if o.relayed && t.lead.Instance == a.lead && o.level > 0 {
 		t.wait, t.waitAt, t.leadLevel, t.sentSince = o.wait, e.now, o.level, 0
 	}
-	if o.err == 0 {
+	if o.err == model.KindNone {
+		t.movedUntil = 0
 		e.sample(a, e.now-a.sent)
 	}
 }
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -24,6 +24,7 @@
 	set    *objects.Set
 	limits objects.Limits
 	ready  view.Readiness
+	lost   []model.InstanceID // found dead or restarted in this tick
 
 	timers timers
 	topology
--- a/core/query/search_test.go
+++ b/core/query/search_test.go
@@ -273,3 +273,27 @@
 		}
 	}
 }
+
+// Guards against searches that wait for a lead in handover although another
+// replica can answer.
+func TestLeadInHandover(t *testing.T) {
+	for _, lead := range []model.InstanceID{"a", "c"} {
+		s := newSim(3, 1, 2, 2, model.PolicyFull)
+		s.node(lead).v.inactive["g00-1"] = true
+		for _, n := range s.nodes {
+			n.v.leads["g00-1"] = lead
+			n.changes.LostPeers = []model.InstanceID{"b"}
+			n.change("g00-1")
+		}
+		for k := range 20 {
+			s.nodes[0].search(model.CallID(k), callBudget)
+			s.run(40 * time.Millisecond)
+		}
+		s.run(time.Second)
+		for k := range 20 {
+			if a := searchOf(t, s, model.CallID(k)); a.Searched != 1 {
+				t.Errorf("lead %s, search %d: %+v", lead, k, a)
+			}
+		}
+	}
+}
--- a/core/query/topology.go
+++ b/core/query/topology.go
@@ -65,6 +65,7 @@
 	if set := e.view.Set(); set != nil && (c.Set || set != e.set) {
 		e.loadSet(set)
 	}
+	e.lost = c.LostPeers
 	for _, id := range c.Targets {
 		if i, ok := e.targetIndex[id]; ok {
 			e.refresh(i)
@@ -163,6 +164,7 @@
 	t.lead, t.info, t.eligible = lead, info, eligible
 	if before.Instance != lead.Instance {
 		t.forgetReports()
+		t.movedUntil = e.handoverEnd(before.Instance)
 		t.leadPeer = none
 		if !lead.Self && lead.Instance != "" {
 			t.leadPeer = e.peer(lead.Instance)
@@ -181,6 +183,30 @@
 	e.markTarget(i)
 }
 
+// plannedHandover is the time that a handover with a release takes: the last
+// work at the target and an exchange of messages.
+const plannedHandover = 100 * time.Millisecond
+
+// handoverEnd is when the successor of a lead is expected to send.
+func (e *Engine) handoverEnd(before model.InstanceID) time.Duration {
+	switch {
+	case before == "":
+		return 0
+	case slices.Contains(e.lost, before):
+		return e.now + view.HandoverWait
+	}
+	return e.now + plannedHandover
+}
+
+// inHandover reports whether the lead of the target cannot send yet, as far
+// as this instance knows.
+func (e *Engine) inHandover(t *target) bool {
+	if t.lead.Self {
+		return !t.lead.Active
+	}
+	return e.now < t.movedUntil
+}
+
 func sameVersions(a, b []model.VersionReport) bool {
 	return slices.EqualFunc(a, b, func(x, y model.VersionReport) bool {
 		return x.Version == y.Version && x.Total == y.Total && slices.Equal(x.Partitions, y.Partitions)
@@ -195,6 +221,7 @@
 	waitAt      time.Duration
 	leadLevel   int
 	sentSince   int                   // sub-requests in progress that were sent after that report
+	movedUntil  time.Duration         // end of the handover to the lead, as expected
 	goneVersion model.SnapshotVersion // refused lately, with all older ones
 	goneUntil   time.Duration
 }
