--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -81,3 +81,47 @@
 		t.Errorf("%d retries of %d sub-requests, at most %d allowed", sum.Retries, sum.SubRequests, limit)
 	}
 }
+
+// Guards against calls that are admitted against the limits, or refused with
+// another kind or as if they might have run (design 3.4).
+func TestRefusals(t *testing.T) {
+	s := newSim(1, 1, 1, 1, model.PolicyFull)
+	n := s.nodes[0]
+	n.e.limits.MaxInFlight = 2
+	n.search(101, callBudget)
+	id := n.ids(1)[0]
+	cases := []struct {
+		in   model.Input
+		kind model.Kind
+	}{
+		{model.SearchCall{Call: 1, Route: "search"}, model.KindNoDeadline},
+		{model.SearchCall{Call: 2, Route: "search", Budget: time.Hour}, model.KindDeadlineTooLong},
+		{model.SearchCall{Call: 3, Route: "search", Budget: callBudget, Body: make([]byte, 64<<10+1)}, model.KindBodyTooLarge},
+		{model.SearchCall{Call: 4, Route: "none", Budget: callBudget}, model.KindNoRoute},
+		{model.SearchCall{Call: 5, Route: "book", Budget: callBudget}, model.KindWrongRouteKind},
+		{model.BookCall{Call: 6, Route: "book", Budget: callBudget}, model.KindBadBookingID},
+		{model.BookCall{Call: 7, Route: "search", Booking: id, Budget: callBudget}, model.KindWrongRouteKind},
+		{model.IssueBookingIDs{Call: 8, Count: 0}, model.KindBadRequest},
+		{model.IssueBookingIDs{Call: 9, Count: maxIssue + 1}, model.KindBadRequest},
+		{model.SearchCall{Call: 102, Route: "search", Budget: callBudget}, model.KindNone},
+		{model.SearchCall{Call: 10, Route: "search", Budget: callBudget}, model.KindTooManyCalls},
+	}
+	for k, tc := range cases {
+		n.step(tc.in)
+		if tc.kind == model.KindNone {
+			continue
+		}
+		var err *model.Error
+		switch a := s.answers[model.CallID(min(k+1, 10))][0].(type) {
+		case model.SearchAnswer:
+			err = a.Error
+		case model.BookAnswer:
+			err = a.Error
+		case model.BookingIDs:
+			err = a.Error
+		}
+		if err == nil || err.Kind != tc.kind || err.Execution != notRun || err.Message == "" {
+			t.Errorf("%+v: %v, want %v", tc.in, err, tc.kind)
+		}
+	}
+}
