query: spend no retry on refusals by the control plane's state

NotLead, TargetOut, Unconfirmed and NotReady refusals reach no target, so the next attempt adds no work and is now free; each target is still asked at most once for each lead. Refusals by targets and full queues take from the budget as before.

--- a/core/query/attempt.go
+++ b/core/query/attempt.go
@@ -155,11 +155,27 @@
 	if o.err == model.KindVersionGone || o.err == model.KindTargetAnswer && o.answer.Snapshot > c.search.snapshot {
 		e.versionGone(a.target, c.search.snapshot)
 	}
+	p.free = refusedByTier(&o)
 	if o.err == model.KindNotLead && e.targets[a.target].lead.Instance != a.lead {
 		p.forget(a.target)
 	}
 }
 
+// refusedByTier reports whether an instance refused the attempt because of
+// the state of the control plane. No target was asked, so the next attempt
+// adds no work: it takes nothing from the retry budget. Otherwise the budget
+// would not last for the moment in which a data centre leaves.
+func refusedByTier(o *outcome) bool {
+	if o.execution != model.NotRun {
+		return false
+	}
+	switch o.err {
+	case model.KindNotLead, model.KindTargetOut, model.KindUnconfirmed, model.KindNotReady:
+		return true
+	}
+	return false
+}
+
 // forget lets the target be asked once more, at its new lead.
 func (p *part) forget(t int32) {
 	for i, x := range p.tried {
--- a/core/query/booking.go
+++ b/core/query/booking.go
@@ -24,6 +24,7 @@
 	tried    []int32
 	attempt  int32 // in progress, also after the deadline, none if there is none
 	failure  model.Kind
+	free     bool // the next attempt takes nothing from the retry budget
 	result   bookResult
 	waiters  []waiter
 }
@@ -177,7 +178,7 @@
 		e.failBooking(i, model.KindNoTarget)
 	case !e.maySend():
 		e.failBooking(i, e.notReady())
-	case b.failure != model.KindNone && !e.mayRetry():
+	case b.failure != model.KindNone && !b.free && !e.mayRetry():
 		e.failBooking(i, model.KindNoTarget)
 	default:
 		b.tried = append(b.tried, t)
@@ -224,7 +225,7 @@
 		// Another attempt so late would end as "unknown".
 		e.failBooking(a.booking, o.err)
 	default:
-		b.failure = o.err
+		b.failure, b.free = o.err, refusedByTier(&o)
 		if o.err == model.KindNotLead && t.lead.Instance != a.lead {
 			b.forget(a.target)
 		}
--- a/core/query/call.go
+++ b/core/query/call.go
@@ -54,6 +54,7 @@
 	state    partState
 	asked    bool
 	hedged   bool
+	free     bool    // the next attempt takes nothing from the retry budget
 	pending  int32   // attempts in progress
 	attempts int32   // list of them
 	tried    []int32 // targets asked
@@ -165,8 +166,10 @@
 	c := e.calls.at(i)
 	p := &c.search.parts[k]
 	retry := p.asked
+	free := p.free || !retry
+	p.free = false
 	t := e.chooseReplica(c, p, none)
-	if t == none || !e.maySend() || retry && !e.mayRetry() {
+	if t == none || !e.maySend() || !free && !e.mayRetry() {
 		if !retry {
 			c.search.failure = model.KindNoTarget
 		}
--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -125,3 +125,33 @@
 		}
 	}
 }
+
+// Guards against searches that lose groups when many targets move or leave at
+// once, because going elsewhere uses up the retry budget.
+func TestRefusalsByTheTierAreFree(t *testing.T) {
+	s := newSim(3, 20, 2, 2, model.PolicyFull)
+	a := s.nodes[0]
+	for k := range 10 {
+		a.search(model.CallID(k), callBudget)
+	}
+	s.run(time.Millisecond)
+	for id := range s.targets {
+		for _, n := range s.nodes {
+			n.v.out[id] = n.id != "a" && id[len(id)-1] == '0' // a lags
+			n.v.leads[id] = "c"
+			n.changes.Targets = append(n.changes.Targets, id)
+		}
+	}
+	for _, n := range s.nodes {
+		n.change(n.changes.Targets...)
+	}
+	for k := range 10 {
+		a.search(model.CallID(10+k), callBudget)
+	}
+	s.run(time.Second)
+	for k := range 20 {
+		if x := searchOf(t, s, model.CallID(k)); x.Searched != 20 {
+			t.Errorf("search %d: %+v", k, x)
+		}
+	}
+}
