api: bound the time in which a request is sent

Cause: a caller that sends its body byte by byte held a handler for ever. Change: 10 s for the body, lifted before the wait for the answer; a test that spans reach the file of the settings.

--- a/node/api/request.go
+++ b/node/api/request.go
@@ -20,6 +20,8 @@
 	// maxDeadline keeps a deadline within the range of a duration. The published
 	// limit is checked by the core.
 	maxDeadline = 24 * time.Hour
+	// bodyTimeout bounds the time in which a caller sends its request.
+	bodyTimeout = 10 * time.Second
 	// maxRequestID bounds the id, which travels with each sub-request.
 	maxRequestID = 128
 	// maxBookingIDs is the largest count of POST /v1/booking-ids.
@@ -45,7 +47,13 @@
 // readBody reads and decodes a request of at most limit bytes. Unknown fields
 // are refused, because a misspelt one would be silently ignored.
 func readBody(w http.ResponseWriter, r *http.Request, limit int, into any) *model.Error {
+	// The limit on the connection is lifted again after the body, because it
+	// would end the wait for an answer as if the caller had gone. A
+	// ResponseWriter that is no connection has no such limit.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return refusal(model.KindBodyTooLarge, fmt.Sprintf("the request is larger than %d bytes; send less, or raise max_body_bytes of the published limits", limit))
--- a/node/telemetry/telemetry_test.go
+++ b/node/telemetry/telemetry_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"os"
 	"strings"
 	"testing"
 
@@ -146,3 +147,20 @@
 		}
 	}
 }
+
+// Guards against spans that are lost at the end of the process.
+func TestSpansReachTheFile(t *testing.T) {
+	cfg := settings.Defaults()
+	cfg.SpanExporter, cfg.SpanFile = settings.ExporterFile, t.TempDir()+"/spans"
+	s, err := NewSpans(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, end := s.Call(parent, CallBook, "r-9")
+	end(model.KindNone)
+	s.Close(t.Context())
+	raw, err := os.ReadFile(cfg.SpanFile)
+	if err != nil || !strings.Contains(string(raw), `"r-9"`) {
+		t.Errorf("%v %s", err, raw)
+	}
+}
