--- a/core/fleet/matrix_test.go
+++ b/core/fleet/matrix_test.go
@@ -66,6 +66,18 @@
 		p.run(3 * second)
 		p.wantReady(8)
 	}},
+	{name: "one link cut", run: func(p *pump) {
+		p.cut = func(a, b int) bool { return a+b == 1 }
+		p.run(10 * second)
+		p.wantReady(8)
+	}},
+	{name: "one not heard", gap: takeover, run: func(p *pump) {
+		p.cut = func(from, _ int) bool { return from == 0 }
+		p.run(10 * second)
+		p.heal()
+		p.run(3 * second)
+		p.wantReady(8)
+	}},
 	{name: "split, service at both", overlap: 400 * time.Millisecond, gap: takeover, run: func(p *pump) {
 		p.split(4)
 		p.run(10 * second)
@@ -196,6 +208,7 @@
 				t.Errorf("a target without lead for %v, want at most %v", p.gap, f.gap)
 			}
 			p.want(p.backwards == 0, "no set is followed by an earlier one")
+			p.leadsTold()
 		})
 	}
 }
@@ -204,6 +217,19 @@
 	return newSet(generation, digest, 8, 2)
 }
 
+// leadsTold checks that the data planes know the present leads. One that was
+// not told of a lead that is active again would never send there.
+func (p *pump) leadsTold() {
+	p.t.Helper()
+	for i, n := range p.nodes {
+		for id, lead := range n.leads {
+			if n.up && lead != n.f.Lead(id) {
+				p.t.Errorf("i%03d: the data plane was told %+v of %s, the lead is %+v", i, lead, id, n.f.Lead(id))
+			}
+		}
+	}
+}
+
 func (p *pump) publish(s *objects.Set) { p.service = func(int) *objects.Set { return s } }
 
 func (p *pump) unless(down bool) *objects.Set { return p.unlessSet(down, matrixSet(1, "a")) }
--- a/core/fleet/readiness.go
+++ b/core/fleet/readiness.go
@@ -14,6 +14,7 @@
 	everReady  bool // an announcement was made
 	startedAt  time.Duration
 	listedAt   time.Duration // first list
+	superseded bool          // a later life of this instance exists
 	resumedAt  time.Duration // end of the last suspension
 	fenced     bool          // not confirmed since resumedAt
 	fenceUntil time.Duration
@@ -36,6 +37,9 @@
 		f.setSelfStatus(model.MemberServing)
 	}
 	if now != f.ready {
+		if now.OK != f.ready.OK {
+			f.touchActive()
+		}
 		f.ready = now
 		f.changes.Readiness = true
 	}
@@ -51,6 +55,16 @@
 	f.emit(r)
 }
 
+// touchActive reports the targets at which this instance sends. A lead is
+// active only while the instance is ready.
+func (f *Fleet) touchActive() {
+	for _, t := range f.self.leads {
+		if t.hold == holdActive {
+			f.touch(t)
+		}
+	}
+}
+
 // assess says whether new work may be sent.
 func (f *Fleet) assess() (view.Readiness, string) {
 	notReady := view.Readiness{Kind: model.KindNotReady}
@@ -58,6 +72,8 @@
 	switch {
 	case !f.haveList:
 		return notReady, "the instance list has not been read"
+	case f.superseded:
+		return notReady, "another process with a later incarnation uses the id of this instance"
 	case !f.self.listed:
 		// Peers cannot answer an instance whose address they do not know.
 		return notReady, "the instance is not on the instance list"
--- a/core/query/attempt.go
+++ b/core/query/attempt.go
@@ -113,6 +113,9 @@
 	}
 	if a.peer != none {
 		e.unlinkPeer(id)
+		if t := &e.targets[a.target]; t.sentSince > 0 && a.sent > t.waitAt {
+			t.sentSince--
+		}
 	}
 	*a = attempt{}
 	e.attempts.release(id)
@@ -136,6 +139,7 @@
 	if o.err == model.KindNone {
 		o.err = e.checkAnswer(c, &a, &o.answer)
 	}
+	c.search.changed = append(c.search.changed, a.part)
 	e.markCall(a.call)
 	if p.state != partOpen {
 		return
@@ -173,11 +177,14 @@
 }
 
 // cancelPart ends the attempts that are still in progress at the lead and at
-// the target. Their outcomes are not awaited.
+// the target. Their outcomes are not awaited: those that have left may have run.
 func (e *Engine) cancelPart(p *part) {
 	for p.attempts != none {
 		id := p.attempts
 		a := e.attempts.at(id)
+		if a.work == none || e.works.at(a.work).inFlight {
+			e.calls.at(a.call).search.mayHaveRun = true
+		}
 		e.abandoned(a)
 		if a.work != none {
 			e.cancelWork(a.work)
--- a/core/query/relay.go
+++ b/core/query/relay.go
@@ -19,10 +19,19 @@
 }
 
 func (e *Engine) flushRequest(r request) {
+	budget := r.deadline - e.now
+	if r.booking != "" {
+		// Leaves the lead time to say that a queued booking has not run.
+		budget -= e.reserve(budget)
+	}
 	for _, i := range e.relayed {
 		p := &e.peers[i]
+		var life model.Incarnation
+		if r.booking != "" {
+			life = e.view.Lead(p.items[0].Target).Incarnation
+		}
 		e.send(i, model.RelayRequest{
-			Lead: p.life, BookingID: r.booking, Snapshot: r.snapshot, Budget: r.deadline - e.now,
+			Lead: life, BookingID: r.booking, Snapshot: r.snapshot, Budget: budget,
 			RequestID: r.requestID, Body: r.body, Trace: r.trace, Items: slices.Clone(p.items),
 		})
 		clear(p.items)
--- a/core/query/topology.go
+++ b/core/query/topology.go
@@ -169,7 +169,7 @@
 		}
 	}
 	if t.leadPeer != none {
-		e.peers[t.leadPeer].address, e.peers[t.leadPeer].life = lead.Address, lead.Incarnation
+		e.peers[t.leadPeer].address = lead.Address
 	}
 	if before.Self != lead.Self {
 		e.leadChanged(i)
@@ -194,7 +194,7 @@
 	wait        time.Duration // last report of the lead
 	waitAt      time.Duration
 	leadLevel   int
-	sentSince   int                   // sub-requests since that report
+	sentSince   int                   // sub-requests in progress that were sent after that report
 	goneVersion model.SnapshotVersion // refused lately, with all older ones
 	goneUntil   time.Duration
 }
--- a/ctl/cmd/galenadyke/main.go
+++ b/ctl/cmd/galenadyke/main.go
@@ -7,6 +7,8 @@
 	"os/signal"
 
 	"galenadyke.dev/ctl/command"
+	"galenadyke.dev/ctl/load"
+	"galenadyke.dev/ctl/replay"
 )
 
 func main() { os.Exit(run()) }
@@ -16,6 +18,7 @@
 	defer stop()
 	env := command.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
 	commands := command.All(env)
-	// Commands of other packages are appended here, one line each.
+	// Commands of other packages are appended here.
+	commands = append(commands, load.NewCommand(), replay.NewCommand(env))
 	return command.Run(ctx, env, os.Args[1:], commands...)
 }
