--- a/node/driver/driver_test.go
+++ b/node/driver/driver_test.go
@@ -176,3 +176,22 @@
 		records = append(records, rec)
 	}
 }
+
+// Guards against outputs that are kept beyond the limit, or with another tick.
+func TestRingKeepsOutputsWithTheirTick(t *testing.T) {
+	r := NewRing(model.CoreConfig{}, 100)
+	for i := range 3 {
+		r.Record(model.Now{Boot: time.Duration(i)}, nil)
+		r.RecordOutputs([]model.Output{model.BookAnswer{Call: model.CallID(i), Body: make([]byte, ringBytes/4)}})
+	}
+	header, records := dump(t, r)
+	if !header.Outputs || header.Dropped != 0 || len(records) != 3 || records[1].Outputs[0].(model.BookAnswer).Call != 1 {
+		t.Errorf("header %+v, %d records", header, len(records))
+	}
+	r.Record(model.Now{}, nil)
+	r.RecordOutputs([]model.Output{model.BookAnswer{Body: make([]byte, ringBytes/2)}})
+	r.Record(model.Now{}, nil)
+	if header, _ := dump(t, r); header.Dropped != 2 {
+		t.Errorf("%d records dropped, want 2", header.Dropped)
+	}
+}
