driver: carry out outputs before they are recorded

Cause: the outputs of a tick were copied into the ring before they were sent. Change: the other order.

--- a/node/driver/loop.go
+++ b/node/driver/loop.go
@@ -130,10 +130,10 @@
 		l.cfg.Engine.Step(in)
 	}
 	outputs := l.cfg.Engine.Tick(now)
-	l.cfg.Recorder.RecordOutputs(outputs)
 	for _, out := range outputs {
 		l.cfg.Actor.Act(out)
 	}
+	l.cfg.Recorder.RecordOutputs(outputs) // after Act, so that nothing is sent later for it
 	if l.cfg.Ticked != nil {
 		l.cfg.Ticked(len(l.batch), l.cfg.Clock.Now().Mono-now.Mono)
 	}
--- a/node/driver/ring.go
+++ b/node/driver/ring.go
@@ -16,11 +16,13 @@
 // outputBytes is about the size of an output without its bodies.
 const outputBytes = 256
 
-// Ring keeps the latest inputs and the outputs of their ticks. Record is called by the loop; Dump may be
-// called from any goroutine.
+// Ring keeps the latest inputs and the outputs of their ticks. Record is called
+// by the loop; Dump may be called from any goroutine.
 type Ring struct {
 	config model.CoreConfig
 	limit  int // in inputs; a tick without inputs counts as one
+	// maxBytes is ringBytes, or less in tests.
+	maxBytes int
 
 	mu      sync.Mutex // guards what follows
 	records []trace.Record
@@ -32,7 +34,7 @@
 
 // NewRing returns a ring for limit inputs. A limit of 0 records nothing.
 func NewRing(config model.CoreConfig, limit int) *Ring {
-	return &Ring{config: config, limit: limit}
+	return &Ring{config: config, limit: limit, maxBytes: ringBytes}
 }
 
 // Record implements Recorder.
@@ -46,7 +48,7 @@
 	r.records = append(r.records, rec)
 	r.count += weight(&rec)
 	r.bytes += bodyBytes(&rec)
-	for r.first < len(r.records)-1 && (r.count > r.limit || r.bytes > ringBytes) {
+	for r.first < len(r.records)-1 && (r.count > r.limit || r.bytes > r.maxBytes) {
 		r.dropFirst()
 	}
 	// Move the rest to the front at times, at a cost of O(1) for each record.
