--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -110,7 +110,7 @@
 	clock := driver.SystemClock{}
 	d.ring = driver.NewRing(d.core, s.TraceRing)
 	d.loop = driver.NewLoop(driver.Config{
-		Engine: engine.New(d.core), Actor: d, Recorder: d, Clock: clock, Ticked: d.metrics.Ticked,
+		Engine: engine.New(d.core), Actor: d, Recorder: d.ring, Observe: d.observe, Clock: clock, Ticked: d.metrics.Ticked,
 	})
 	d.metrics.WatchQueue(d.loop.Queued)
 	submit := d.loop.Submit
@@ -181,10 +181,8 @@
 // closeTimeout bounds the end of the HTTP server and of the span exporter.
 const closeTimeout = time.Second
 
-// Record implements driver.Recorder: it keeps the inputs and takes over what the
-// edges need to know before the core acts on it.
-func (d *Daemon) Record(now model.Now, inputs []model.Input) {
-	d.ring.Record(now, inputs)
+// observe takes over what the edges need to know before the core acts on it.
+func (d *Daemon) observe(inputs []model.Input) {
 	for _, in := range inputs {
 		switch in := in.(type) {
 		case model.ConfigResult:
@@ -196,9 +194,6 @@
 	}
 }
 
-// RecordOutputs implements driver.Recorder.
-func (d *Daemon) RecordOutputs(outputs []model.Output) { d.ring.RecordOutputs(outputs) }
-
 // apply passes a set to the edges. The core adopts each set that is newer than
 // the one in force, so the newest set that passed the check is the one in force.
 func (d *Daemon) apply(set *objects.Set) {
--- a/node/driver/driver_test.go
+++ b/node/driver/driver_test.go
@@ -141,15 +141,15 @@
 	r := NewRing(model.CoreConfig{Self: "a"}, 5)
 	r.maxBytes = 4096
 	for i := range 100 {
-		r.Record(model.Now{Boot: time.Duration(i)}, []model.Input{model.CancelCall{Call: model.CallID(i)}, model.Shutdown{}})
+		r.Record(model.Now{Boot: time.Duration(i)}, []model.Input{model.CancelCall{Call: model.CallID(i)}, model.Shutdown{}}, nil)
 	}
 	big := model.SearchCall{Body: make([]byte, r.maxBytes/2+1)}
 	header, records := dump(t, r)
 	if header.Dropped != 98 || header.Config.Self != "a" || len(records) != 2 || records[1].Boot != 99 {
 		t.Errorf("header %+v, %d records", header, len(records))
 	}
-	r.Record(model.Now{}, []model.Input{big})
-	r.Record(model.Now{}, []model.Input{big})
+	r.Record(model.Now{}, []model.Input{big}, nil)
+	r.Record(model.Now{}, []model.Input{big}, nil)
 	if _, records := dump(t, r); len(records) != 1 {
 		t.Errorf("%d records, want the one that fits into %d bytes", len(records), r.maxBytes)
 	}
@@ -183,16 +183,13 @@
 	r := NewRing(model.CoreConfig{}, 100)
 	r.maxBytes = 8192
 	for i := range 3 {
-		r.Record(model.Now{Boot: time.Duration(i)}, nil)
-		r.RecordOutputs([]model.Output{model.BookAnswer{Call: model.CallID(i), Body: make([]byte, r.maxBytes/4)}})
+		r.Record(model.Now{Boot: time.Duration(i)}, nil, []model.Output{model.BookAnswer{Call: model.CallID(i), Body: make([]byte, r.maxBytes/4)}})
 	}
 	header, records := dump(t, r)
 	if !header.Outputs || header.Dropped != 0 || len(records) != 3 || records[1].Outputs[0].(model.BookAnswer).Call != 1 {
 		t.Errorf("header %+v, %d records", header, len(records))
 	}
-	r.Record(model.Now{}, nil)
-	r.RecordOutputs([]model.Output{model.BookAnswer{Body: make([]byte, r.maxBytes/2)}})
-	r.Record(model.Now{}, nil)
+	r.Record(model.Now{}, nil, []model.Output{model.BookAnswer{Body: make([]byte, r.maxBytes/2)}})
 	if header, _ := dump(t, r); header.Dropped != 2 {
 		t.Errorf("%d records dropped, want 2", header.Dropped)
 	}
--- a/node/driver/loop.go
+++ b/node/driver/loop.go
@@ -17,11 +17,11 @@
 // must never block: what takes time it starts elsewhere.
 type Actor interface{ Act(model.Output) }
 
-// Recorder keeps the inputs of a tick and then its outputs. The slices are
-// valid during the call.
+// Recorder keeps the inputs of a tick with its outputs, in one step, so that a
+// reader never sees a tick without its outputs. The slices are valid during the
+// call.
 type Recorder interface {
-	Record(now model.Now, inputs []model.Input)
-	RecordOutputs(outputs []model.Output)
+	Record(now model.Now, inputs []model.Input, outputs []model.Output)
 }
 
 const (
@@ -34,12 +34,15 @@
 	maxBatch = 256
 )
 
-// Config configures a Loop. All fields but Stats are required.
+// Config configures a Loop. All fields but Observe and Ticked are required.
 type Config struct {
 	Engine   Engine
 	Actor    Actor
 	Recorder Recorder
 	Clock    Clock
+	// Observe, if set, is called with the inputs before the engine gets them. The
+	// slice is valid during the call.
+	Observe func(inputs []model.Input)
 	// Ticked, if set, is called after each tick with the time that the inputs
 	// and the outputs took.
 	Ticked func(inputs int, busy time.Duration)
@@ -125,7 +128,9 @@
 
 func (l *Loop) tick() {
 	now := l.cfg.Clock.Now()
-	l.cfg.Recorder.Record(now, l.batch)
+	if l.cfg.Observe != nil {
+		l.cfg.Observe(l.batch)
+	}
 	for _, in := range l.batch {
 		l.cfg.Engine.Step(in)
 	}
@@ -133,7 +138,7 @@
 	for _, out := range outputs {
 		l.cfg.Actor.Act(out)
 	}
-	l.cfg.Recorder.RecordOutputs(outputs) // after Act, so that nothing is sent later for it
+	l.cfg.Recorder.Record(now, l.batch, outputs) // after Act, so that nothing is sent later for it
 	if l.cfg.Ticked != nil {
 		l.cfg.Ticked(len(l.batch), l.cfg.Clock.Now().Mono-now.Mono)
 	}
--- a/node/driver/ring.go
+++ b/node/driver/ring.go
@@ -38,11 +38,11 @@
 }
 
 // Record implements Recorder.
-func (r *Ring) Record(now model.Now, inputs []model.Input) {
+func (r *Ring) Record(now model.Now, inputs []model.Input, outputs []model.Output) {
 	if r.limit == 0 {
 		return
 	}
-	rec := trace.Record{Mono: now.Mono, Boot: now.Boot, Inputs: slices.Clone(inputs)}
+	rec := trace.Record{Mono: now.Mono, Boot: now.Boot, Inputs: slices.Clone(inputs), Outputs: slices.Clone(outputs)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.records = append(r.records, rec)
@@ -59,20 +59,6 @@
 	}
 }
 
-// RecordOutputs implements Recorder: it adds the outputs of the tick recorded
-// last.
-func (r *Ring) RecordOutputs(outputs []model.Output) {
-	if r.limit == 0 || len(outputs) == 0 {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	last := &r.records[len(r.records)-1]
-	r.bytes -= bodyBytes(last)
-	last.Outputs = slices.Clone(outputs)
-	r.bytes += bodyBytes(last)
-}
-
 func (r *Ring) dropFirst() {
 	old := &r.records[r.first]
 	r.count -= weight(old)
