peer: report each message that a full queue drops

Cause: a message dropped at the moment at which an idle stream ends could take its signal along, so that no PeerDown followed. Change: a flag that only the report clears, beside the signal that wakes the link. Result: 10 runs of the package under -race pass; the race itself was found by reading and is not forced by a test.

--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -62,10 +62,11 @@
 	address string
 	queue   chan queued
 	bytes   atomic.Int64 // of the queue
-	// overflow is set by push. run then breaks the stream and drops the queue.
+	// lost is true from the time at which push dropped a message until down has
+	// reported it; overflow wakes run to break the stream and drop the queue.
+	lost     atomic.Bool
 	overflow chan struct{}
 	closing  chan struct{}
-	ended    chan struct{}
 }
 
 func newLink(set *Links, to model.InstanceID, address string) *link {
@@ -74,7 +75,6 @@
 		queue:    make(chan queued, queueFrames),
 		overflow: make(chan struct{}, 1),
 		closing:  make(chan struct{}),
-		ended:    make(chan struct{}),
 	}
 }
 
@@ -88,6 +88,7 @@
 		}
 	}
 	l.bytes.Add(-q.bytes)
+	l.lost.Store(true)
 	select {
 	case l.overflow <- struct{}{}:
 	default:
@@ -96,7 +97,6 @@
 
 // run sends what is queued until the link is closed or idle.
 func (l *link) run() {
-	defer close(l.ended)
 	client, err := l.dial()
 	if err != nil {
 		l.set.discard(l)
@@ -111,7 +111,9 @@
 		select {
 		case first = <-l.queue:
 		case <-l.overflow:
-			l.down("queue", errOverflow)
+			if l.lost.Load() {
+				l.down("queue", errOverflow)
+			}
 			continue
 		case <-idle.C:
 			if l.set.forget(l) {
@@ -130,7 +132,7 @@
 		switch {
 		case errors.Is(err, errClosed):
 			return
-		case errors.Is(err, errIdle):
+		case errors.Is(err, errIdle) && !l.lost.Load():
 		default:
 			l.down("stream", err)
 		}
@@ -179,11 +181,14 @@
 	writing := make(chan struct{})
 	defer close(writing)
 	go func() {
-		select {
-		case <-l.overflow:
-			cancel(errOverflow)
-		case <-writing:
+		for !l.lost.Load() {
+			select {
+			case <-l.overflow: // may be left from a loss that was reported
+			case <-writing:
+				return
+			}
 		}
+		cancel(errOverflow)
 	}()
 	next := first
 	for {
@@ -256,16 +261,15 @@
 
 // finish sends what is queued and waits until the receiver has read it.
 func (l *link) finish(s grpc.ClientStreamingClient[peerpb.Frame, peerpb.LinkEnd], broken <-chan error) error {
-	for {
+	for sent := false; !sent; {
 		select {
 		case q := <-l.queue:
 			if err := l.send(s, q); err != nil {
 				return err
 			}
-			continue
 		default:
+			sent = true
 		}
-		break
 	}
 	if err := s.CloseSend(); err != nil {
 		return err
@@ -284,16 +288,14 @@
 // down drops what waits and reports the break. The messages were sent as far as
 // the core knows.
 func (l *link) down(during string, err error) {
-	for {
+	l.lost.Store(false)
+	for drained := false; !drained; {
 		select {
 		case q := <-l.queue:
 			l.bytes.Add(-q.bytes)
-			continue
-		case <-l.overflow:
-			continue
 		default:
+			drained = true
 		}
-		break
 	}
 	l.set.cfg.Metrics.StreamBroken()
 	l.set.cfg.Log.LinkBroken(l.to, during, err)
