--- a/node/daemon/daemon_test.go
+++ b/node/daemon/daemon_test.go
@@ -21,6 +21,8 @@
 
 	"go.uber.org/goleak"
 
+	"galenadyke.dev/core/engine"
+	"galenadyke.dev/core/model"
 	"galenadyke.dev/core/objects"
 	"galenadyke.dev/core/trace"
 	"galenadyke.dev/node/settings"
@@ -204,8 +206,9 @@
 	if err := daemons[0].ring.Dump(&dumped); err != nil {
 		t.Fatal(err)
 	}
-	if _, header, err := trace.NewReader(&dumped); err != nil || header.Config.Self != "i0" {
-		t.Errorf("trace: %v, %+v", err, header)
+	sum, err := trace.Replay(&dumped, func(cfg model.CoreConfig) trace.Engine { return engine.New(cfg) }, nil)
+	if err != nil || sum.Header.Config.Self != "i0" || !sum.Compared || len(sum.Differences) > 0 {
+		t.Errorf("replay of the trace: %v, %d of %d ticks differ", err, len(sum.Differences), sum.Ticks)
 	}
 	for _, d := range daemons {
 		d.Shutdown()
