--- a/core/engine/checks_test.go
+++ b/core/engine/checks_test.go
@@ -185,10 +185,10 @@
 			seen[x] = true
 		}
 	}
-	if len(seen) != a.Searched || a.Total != 6 {
+	if len(seen) != a.Searched || a.Total != 2*c.groups {
 		c.violate(2, "%s states %d of %d partitions, the targets searched %d", call.name, a.Searched, a.Total, len(seen))
 	}
-	if len(a.Missing)+len(a.Parts) != 3 {
+	if len(a.Missing)+len(a.Parts) != c.groups {
 		c.violate(2, "%s has %d parts, %d missing", call.name, len(a.Parts), len(a.Missing))
 	}
 }
--- a/core/engine/cluster_test.go
+++ b/core/engine/cluster_test.go
@@ -39,6 +39,7 @@
 	events  events
 	rng     *rand.Rand
 	policy  model.Policy
+	groups  int // of searches, each with two partitions
 	nodes   []*node
 	targets []*target
 	sets    map[string]*objects.Set // by raw form
@@ -53,12 +54,14 @@
 	broken  map[[2]*node]bool                  // a PeerDown is under way
 	// mark, if set, is told each step of the work: its name, the instance and
 	// the peer and target involved, if any.
-	mark   func(step string, n, peer *node, t *target)
-	calls  map[model.CallID]*callerCall
-	order  []*callerCall
-	ran    map[string]int // executions by booking id or request id
-	listed []model.InstanceInfo
-	frozen bool // the list lags
+	mark func(step string, n, peer *node, t *target)
+	// observe, if set, sees each tick.
+	observe func(n *node, in []model.Input, out []model.Output)
+	calls   map[model.CallID]*callerCall
+	order   []*callerCall
+	ran     map[string]int // executions by booking id or request id
+	listed  []model.InstanceInfo
+	frozen  bool // the list lags
 	checks
 }
 
@@ -96,7 +99,10 @@
 	completed int // in this life
 	started   time.Duration
 	outSince  time.Duration // taken out or set to drain, 0 if not
-	most      int
+	most      int           // at once, and of it before the eighth completion in this life
+	mostCold  int
+	over      time.Duration // with more than its slots at once
+	counted   time.Duration
 	slow      time.Duration // time of each request, 0 for the usual one
 	draining  bool          // by its own report
 	service   func() time.Duration
@@ -148,17 +154,21 @@
 // newCluster has two data centres, three search groups of two replicas, one in
 // each data centre, and a booking group of three targets.
 func newCluster(t testing.TB, instances, slots int, seed uint64) *cluster {
+	return newShapedCluster(t, instances, slots, 3, 2, model.PolicyFull, seed)
+}
+
+func newShapedCluster(t testing.TB, instances, slots, groups, replicas int, policy model.Policy, seed uint64) *cluster {
 	c := &cluster{
 		t: t, now: second, rng: rand.New(rand.NewPCG(seed, 1)), sets: map[string]*objects.Set{},
 		broken: map[[2]*node]bool{}, calls: map[model.CallID]*callerCall{}, ran: map[string]int{},
-		policy: model.PolicyFull,
+		policy: policy, groups: groups,
 	}
 	c.mark = func(string, *node, *node, *target) {}
 	c.read = func(*node) string { return c.current }
 	c.cut = func(a, b *node) bool { return false }
 	c.views = func(*node) []model.InstanceInfo { return c.listed }
-	for g := range 3 {
-		for p := range 2 {
+	for g := range groups {
+		for p := range replicas {
 			c.addTarget(fmt.Sprintf("s%d", g), p, slots, []uint32{uint32(2*g + 1), uint32(2*g + 2)})
 		}
 	}
@@ -191,20 +201,25 @@
 		Place: fmt.Sprintf("dc%d", place%2), Slots: slots, Connections: 25,
 	}
 	if partitions != nil {
-		x.versions = []model.VersionReport{{Version: 7, Total: 6, Partitions: partitions}}
+		x.versions = []model.VersionReport{{Version: 7, Total: 2 * c.groups, Partitions: partitions}}
 	}
 	x.service = func() time.Duration {
 		if x.slow > 0 {
 			return x.slow
 		}
-		if c.rng.IntN(50) == 0 {
-			return 40 * ms // a straggler
-		}
-		return 5*ms + time.Duration(c.rng.IntN(2000))*time.Microsecond
+		return serviceTime(c.rng)
 	}
 	c.targets = append(c.targets, x)
 }
 
+// serviceTime is 5 to 7 ms, and 40 ms for a straggler.
+func serviceTime(rng *rand.Rand) time.Duration {
+	if rng.IntN(50) == 0 {
+		return 40 * ms
+	}
+	return 5*ms + time.Duration(rng.IntN(2000))*time.Microsecond
+}
+
 // bundle is a set with a number of steps of the move of dc0 in force. The
 // drained target gets no work; the name of it also makes sets of one
 // generation differ.
@@ -225,8 +240,11 @@
 		g.Targets = append(g.Targets, x.Target)
 	}
 	s.Routes = []objects.Route{search, {Name: "book", Kind: objects.RouteBooking, Groups: []string{"desk"}}}
-	s.Orders = []objects.Order{{Name: "move", InForce: steps, Steps: []objects.Step{
-		{Action: objects.StepLeave, Place: "dc0"}, {Action: objects.StepReturn, Place: "dc0"}}}}
+	// With groups of one target no place can leave.
+	if c.targets[0].group == c.targets[1].group {
+		s.Orders = []objects.Order{{Name: "move", InForce: steps, Steps: []objects.Step{
+			{Action: objects.StepLeave, Place: "dc0"}, {Action: objects.StepReturn, Place: "dc0"}}}}
+	}
 	raw, err := objects.Bundle(s, generation)
 	if err != nil {
 		c.t.Fatal(err)
@@ -375,6 +393,9 @@
 			n.c.t.Fatal(err)
 		}
 	}
+	if n.c.observe != nil {
+		n.c.observe(n, in, out)
+	}
 	for _, o := range out {
 		if n.paused {
 			n.held = append(n.held, func() { n.carryOut(o) })
@@ -550,8 +571,12 @@
 		a.Partitions = x.versions[version].Partitions
 		a.Body = fmt.Appendf(nil, "%s %d %v", r.Body, r.Snapshot, a.Partitions)
 	}
+	x.count(c.now)
 	x.running[r] = true
 	x.most = max(x.most, len(x.running))
+	if x.completed < 8 {
+		x.mostCold = max(x.mostCold, len(x.running))
+	}
 	c.checkRunning(x)
 	took := x.service()
 	c.after(took, func() {
@@ -564,8 +589,18 @@
 	})
 }
 
+// count adds up the time with more work at once than slots. It runs before
+// each change.
+func (x *target) count(now time.Duration) {
+	if len(x.running) > x.Slots {
+		x.over += now - x.counted
+	}
+	x.counted = now
+}
+
 func (c *cluster) reply(x *target, r *request, reply model.TargetReply) {
 	r.done = true
+	x.count(c.now)
 	delete(x.running, r)
 	reply.Work = r.Work
 	name := "TargetReply"
