--- a/core/engine/cluster_test.go
+++ b/core/engine/cluster_test.go
@@ -105,9 +105,20 @@
 	counted   time.Duration
 	slow      time.Duration // time of each request, 0 for the usual one
 	draining  bool          // by its own report
+	lie       lie
 	service   func() time.Duration
 }
 
+// lie is how the answers of a target contradict what was asked.
+type lie uint8
+
+const (
+	lieNone      lie = iota
+	lieShort         // fewer partitions than the target holds
+	lieTruncated     // the same, and says so
+	lieVersion       // another version
+)
+
 type request struct {
 	model.SendTarget
 	n    *node
@@ -569,7 +580,15 @@
 	} else {
 		c.ran[r.RequestID]++
 		a.Partitions = x.versions[version].Partitions
-		a.Body = fmt.Appendf(nil, "%s %d %v", r.Body, r.Snapshot, a.Partitions)
+		switch x.lie {
+		case lieShort:
+			a.Partitions = a.Partitions[:1]
+		case lieTruncated:
+			a.Partitions, a.Truncated = a.Partitions[:1], true
+		case lieVersion:
+			a.Snapshot++
+		}
+		a.Body = fmt.Appendf(nil, "%s %d %v", r.Body, a.Snapshot, a.Partitions)
 	}
 	x.count(c.now)
 	x.running[r] = true
--- a/core/engine/matrix_test.go
+++ b/core/engine/matrix_test.go
@@ -91,6 +91,16 @@
 		x.slow = 150 * ms
 		return func() { x.slow = 0 }
 	}},
+	{name: "target contradicts", leads: 1, lasts: 3 * second, target: true, inject: func(c *cluster, _ *node, x *target) func() {
+		x.lie = lieShort
+		c.after(second, func() { x.lie = lieTruncated })
+		c.after(2*second, func() { x.lie = lieVersion })
+		return func() { x.lie = lieNone }
+	}},
+	{name: "messages repeated", leads: 1, lasts: 5 * second, target: true, inject: func(c *cluster, _ *node, _ *target) func() {
+		c.twice = true
+		return func() { c.twice = false }
+	}},
 	{name: "target drains", leads: 1, lasts: 5 * second, target: true, inject: func(c *cluster, _ *node, x *target) func() {
 		x.draining, x.outSince = true, c.now
 		return func() { x.draining, x.outSince = false, 0 }
