backend: open a connection for each slot ahead of work

Cause: for a target of 2 slots the one further health request took the kept-alive connection of the probe, so that no connection was opened ahead. Change: as many concurrent health requests as slots, with a test that holds them until all have arrived.

--- a/node/backend/backend.go
+++ b/node/backend/backend.go
@@ -201,7 +201,7 @@
 		if err != nil {
 			b.targets.cool(tg)
 		} else {
-			b.openAhead(ctx, out.Target, tg)
+			b.openAhead(out.Target, tg)
 		}
 		b.cfg.Submit(model.ProbeReply{Target: out.Target, OK: err == nil, Report: report})
 	})
@@ -209,8 +209,9 @@
 
 // openAhead opens a connection for each slot, so that the first work at a
 // target does not wait for connects. Concurrent requests are the only way to
-// make http.Transport do so; health reports are the cheapest ones.
-func (b *Backend) openAhead(ctx context.Context, id model.TargetID, tg *target) {
+// make http.Transport do so; health reports are the cheapest ones. One of them
+// takes the connection of the probe.
+func (b *Backend) openAhead(id model.TargetID, tg *target) {
 	for range b.targets.claimWarmUp(id, tg) {
 		b.running.Go(func() {
 			ctx, cancel := context.WithTimeout(b.ctx, probeTimeout)
--- a/node/backend/backend_test.go
+++ b/node/backend/backend_test.go
@@ -310,6 +310,36 @@
 	}
 }
 
+// Guards against first work that waits for connects.
+func TestConnectionsAreOpenedAhead(t *testing.T) {
+	const slots = 3
+	h := newHarness(t)
+	var requests atomic.Int64
+	all := make(chan struct{})
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch requests.Add(1) {
+		case 1: // the probe
+		case 1 + slots:
+			close(all)
+		default: // hold the connection until the others are open
+			select {
+			case <-all:
+			case <-r.Context().Done():
+			}
+		}
+		_, _ = io.WriteString(w, `{"incarnation":3}`)
+	})
+	h.Apply(&objects.Set{Groups: []objects.TargetGroup{{Targets: []objects.Target{{Name: "t", Address: address, Connections: 8, Slots: slots}}}}})
+	h.Probe(model.ProbeTarget{Target: "t", Address: address})
+	if in := <-h.inputs; !in.(model.ProbeReply).OK {
+		t.Errorf("%+v", in)
+	}
+	<-all
+	if n := h.opened.Load(); n != slots {
+		t.Errorf("%d connections, want %d", n, slots)
+	}
+}
+
 // Guards against a panic on, or a statement out of range from, a faulty target.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(bookingAnswer))
--- a/node/backend/target.go
+++ b/node/backend/target.go
@@ -116,8 +116,9 @@
 	return fresh
 }
 
-// claimWarmUp returns the number of further connections to open to a target
-// that has answered its first probe: one for each slot.
+// claimWarmUp returns the number of connections that a target which has answered
+// its first probe should have: one for each slot. It is 0 if they were opened
+// before.
 func (t *targets) claimWarmUp(id model.TargetID, tg *target) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -125,7 +126,7 @@
 		return 0
 	}
 	tg.warm = true
-	return min(t.limits[id].slots, tg.connections) - 1
+	return min(t.limits[id].slots, tg.connections)
 }
 
 // cool lets the connections be opened ahead of work again, after a failure.
