Test the exit status of galenadyke load

A run that found a booking answered wrongly must fail, and options out of bounds must not start a load. go test -race -count=2 ./ctl/load passes.

--- a/ctl/load/load_test.go
+++ b/ctl/load/load_test.go
@@ -3,15 +3,21 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/google/subcommands"
 )
 
 // tier is a fake instance whose bookings lie as set.
@@ -155,3 +161,40 @@
 		t.Fatalf("%+v", b)
 	}
 }
+
+// Guards against a command that hides a booking that was answered wrongly, or
+// that starts a load with an option that makes no sense.
+func TestCommandExitStatus(t *testing.T) {
+	f := newTier(t, 0)
+	chart := filepath.Join(t.TempDir(), "load.svg")
+	base := []string{"--entry", f.URL, "--rate", "100", "--duration", "500ms", "--json", "--svg", chart}
+	for _, x := range []struct {
+		name string
+		args []string
+		want subcommands.ExitStatus
+	}{
+		{"searches", nil, subcommands.ExitSuccess},
+		{"wrong bookings", []string{"--bookings", "0.5", "--target-counts", f.URL + "/v1/counts"}, subcommands.ExitFailure},
+		{"host name", []string{"--entry", "http://localhost:8080"}, subcommands.ExitUsageError},
+		{"unbounded rate", []string{"--rate", "1e9"}, subcommands.ExitUsageError},
+		{"argument", []string{"extra"}, subcommands.ExitUsageError},
+	} {
+		var out, errs bytes.Buffer
+		c := NewCommand()
+		c.Out, c.Err = &out, &errs
+		flags := flag.NewFlagSet(x.name, flag.ContinueOnError)
+		c.SetFlags(flags)
+		if err := flags.Parse(append(slices.Clone(base), x.args...)); err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Execute(t.Context(), flags); got != x.want {
+			t.Errorf("%s: exit status %d, want %d: %s", x.name, got, x.want, errs.String())
+		}
+		if x.want == subcommands.ExitSuccess && !json.Valid(out.Bytes()) {
+			t.Errorf("%s: the output is not JSON: %s", x.name, out.String())
+		}
+	}
+	if svg, err := os.ReadFile(chart); err != nil || !bytes.Contains(svg, []byte("<svg")) {
+		t.Errorf("chart: %v", err)
+	}
+}
