fleet: report ready to the balancer once the targets are known

A new instance became ready with its configuration, before the leads had told it what the targets serve; until the next exchanges it leaves such groups out of its answers. Change: after the configuration is confirmed, the instance joins the ranking at once, but reports ready only when the state of each target in service is known, at the latest after 3 s. Before: the new test fails at the first ready instance of a starting fleet.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -45,6 +45,46 @@
 	}
 }
 
+// Guards against calls that reach a new instance before it knows what the
+// targets serve: its answers would lack groups. A target that no probe reaches
+// must not keep the instance out for long.
+func TestReadyAfterTargetsAreKnown(t *testing.T) {
+	p := newPump(t, 8, newSet(1, "a", 50, 2))
+	checked := make([]bool, len(p.nodes))
+	for end := p.now + 4*time.Second; p.now < end; p.run(step) {
+		for i, n := range p.nodes {
+			if !n.ready || checked[i] {
+				continue
+			}
+			checked[i] = true
+			for id := range n.f.byTarget {
+				if len(n.f.Target(id).Versions) == 0 {
+					t.Fatalf("i%03d is ready without the versions of %s", i, id)
+				}
+			}
+		}
+	}
+	start := func(i int) time.Duration {
+		p.nodes[i].up = false
+		p.run(4 * time.Second)
+		began := p.now
+		for p.start(i); !p.nodes[i].ready && p.now < began+10*time.Second; {
+			p.run(step)
+		}
+		return p.now - began
+	}
+	start(3)
+	for id := range p.nodes[3].f.byTarget {
+		if info := p.nodes[3].f.Target(id); len(info.Versions) == 0 {
+			t.Errorf("ready without the versions of %s", id)
+		}
+	}
+	p.report = func(model.TargetID) (model.TargetReport, bool) { return model.TargetReport{}, false }
+	if d := start(5); d > learnWait+time.Second {
+		t.Errorf("ready %v after a start with all targets down", d)
+	}
+}
+
 // Guards against a state of a target without index versions that replaces one
 // with them: searches then leave the target's group out. It came from a lead
 // that published before its first probe and lost the target at once.
--- a/core/fleet/limits.go
+++ b/core/fleet/limits.go
@@ -52,6 +52,11 @@
 	maxTargetsReply = 512
 	// helpers is the number of peers that are asked to ping a silent member.
 	helpers = 2
+	// learnWait bounds the time for which a new instance stays out of the
+	// balancer until it knows the states of all targets. A full exchange of
+	// 2,300 targets takes five rounds of 200 ms; a target that is down is
+	// published as such after two probes.
+	learnWait = 3 * time.Second
 	// probeLost is the time after which an unanswered probe is given up.
 	probeLost = 2 * time.Second
 	// probeFailures is the number of failed probes in a row after which a
--- a/core/fleet/readiness.go
+++ b/core/fleet/readiness.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"galenadyke.dev/core/model"
@@ -18,6 +19,8 @@
 	resumedAt  time.Duration // end of the last suspension
 	fenced     bool          // not confirmed since resumedAt
 	fenceUntil time.Duration
+	servingAt  time.Duration
+	learned    bool // the state of each target in service is known, or learnWait is over
 }
 
 // fence stops new work after a suspension until the set is confirmed anew.
@@ -35,6 +38,8 @@
 	now, reason := f.assess()
 	if now.OK && f.self.status == model.MemberStarting {
 		f.setSelfStatus(model.MemberServing)
+		f.servingAt = f.now
+		f.after(learnWait, timer{kind: timerCheck})
 	}
 	if now != f.ready {
 		if now.OK != f.ready.OK {
@@ -44,8 +49,11 @@
 		f.changes.Readiness = true
 	}
 	r := model.Ready{Ready: now.OK, Reason: reason}
-	if f.stopPhase != stopNone {
+	switch {
+	case f.stopPhase != stopNone:
 		r = model.Ready{Reason: "the instance is stopping"}
+	case now.OK && !f.hasLearnedTargets():
+		r = model.Ready{Reason: "the states of the targets are not known yet"}
 	}
 	if r == f.announced && f.everReady {
 		return
@@ -55,6 +63,24 @@
 	f.emit(r)
 }
 
+// hasLearnedTargets reports whether the balancer may send calls to a new
+// instance. Before it knows the index versions of a group, it leaves the group
+// out of its answers. A target that no lead can report does not hold it back
+// for longer than learnWait.
+//
+// It looks at all targets only until the first time that all are known.
+func (f *Fleet) hasLearnedTargets() bool {
+	if f.learned {
+		return true
+	}
+	f.learned = f.now-f.servingAt >= learnWait || !slices.ContainsFunc(f.groups, hasUnknownTarget)
+	return f.learned
+}
+
+func hasUnknownTarget(g *group) bool {
+	return slices.ContainsFunc(g.targets, func(t *target) bool { return !t.known && !t.drain && !t.place.out })
+}
+
 // touchActive reports the targets at which this instance sends. A lead is
 // active only while the instance is ready.
 func (f *Fleet) touchActive() {
