--- a/core/fleet/matrix_test.go
+++ b/core/fleet/matrix_test.go
@@ -48,6 +48,15 @@
 		p.wantReady(7)
 		p.wantLost(0, 3)
 	}},
+	// A broken stream saves the round of the exchange and the first 300 ms.
+	{name: "crash, streams break", gap: 2500 * time.Millisecond, run: func(p *pump) {
+		p.nodes[3].up = false
+		for i := range p.nodes {
+			p.post(p.now, -1, i, model.PeerDown{Peer: instance(3)})
+		}
+		p.run(10 * second)
+		p.wantReady(7)
+	}},
 	{name: "restart", gap: takeover, run: func(p *pump) {
 		p.start(3)
 		p.run(10 * second)
