query: drop settled slots before the timer of a target is set

Slots of cancelled work were dropped only when the lead looked for room. A lead in handover with queued work did not, so that the target's timer stayed in the past and the instance ticked without end: the fault matrix of core/engine ran 600 s of processor time without finishing. TestWakeAfterSettling fails without the change (wake at 1 ms, now 5 ms) and passes with it.

--- a/core/query/queue.go
+++ b/core/query/queue.go
@@ -136,6 +136,7 @@
 		first := e.works.at(t.queue[0])
 		at = first.deadline - e.leastTime(first)
 	}
+	t.taken(e.now) // drops the slots that have settled
 	if len(t.settling) > 0 && (len(t.queue) > 0 || t.draining) {
 		at = min(at, t.settling[0])
 	}
--- a/core/query/warm_test.go
+++ b/core/query/warm_test.go
@@ -188,3 +188,18 @@
 		t.Errorf("work sent %v after a refusal, want no delay", gap)
 	}
 }
+
+// Guards against a wake-up in the past, and so an endless loop of ticks, when
+// slots have settled while the lead could not send.
+func TestWakeAfterSettling(t *testing.T) {
+	s, n, target := warmRig(4)
+	target.settling = append(target.settling, s.now+time.Millisecond)
+	n.v.inactive["desk-0"] = true
+	n.change("desk-0")
+	n.book(1, n.ids(1)[0], time.Second)
+	s.now += 5 * time.Millisecond
+	n.tick()
+	if w := n.e.NextWake(); w <= s.now {
+		t.Errorf("wake at %v, now %v", w, s.now)
+	}
+}
