--- a/core/engine/matrix_test.go
+++ b/core/engine/matrix_test.go
@@ -67,6 +67,24 @@
 	return c.bundle(latest+1, steps, drained)
 }
 
+// restartBusy restarts a target while it works, so that connections break, and
+// sends more than it sustains.
+func (c *cluster) restartBusy(x *target) {
+	if len(x.running) == 0 {
+		c.after(ms, func() { c.restartBusy(x) })
+		return
+	}
+	c.killTarget(x)
+	c.startTarget(x)
+	c.after(breakSeen, func() {
+		for range 6 {
+			if n := c.entry(); n != nil {
+				c.search(n, 200*ms)
+			}
+		}
+	})
+}
+
 var matrixFaults = []fault{
 	{name: "none", leads: 1, inject: func(c *cluster, _ *node, _ *target) func() { return nil }, target: true},
 	{name: "instance killed", leads: 1, lasts: 4 * second, inject: kill},
@@ -150,8 +168,7 @@
 		return c.connect
 	}},
 	{name: "target restarted cold", leads: 1, target: true, inject: func(c *cluster, _ *node, x *target) func() {
-		c.killTarget(x)
-		c.startTarget(x)
+		c.restartBusy(x)
 		return nil
 	}},
 	{name: "target killed", leads: 1, lasts: 4 * second, target: true, inject: func(c *cluster, _ *node, x *target) func() {
