--- a/core/fleet/detect.go
+++ b/core/fleet/detect.go
@@ -29,6 +29,11 @@
 			f.send(p, model.PingRequest{Round: m.pingRound, Subject: m.id})
 		}
 		m.pingDue = f.after(view.PingTimeout, timer{kind: timerPing, member: m})
+		// One silent member can be the first sign of a partition. Asking the
+		// next one at once finds the others faster the more of them there are.
+		if next := f.nextPeer(); next != nil {
+			f.sendLight(next)
+		}
 		return
 	}
 	m.pingRound = 0
@@ -112,8 +117,11 @@
 		f.lost = append(f.lost, m)
 	}
 	f.spreadMember(m)
-	// The member may still hear this instance and can then refute at once.
-	f.sendLight(m)
+	// The member may still hear this instance and can then refute at once. In
+	// a large fleet some of those that hear of the suspicion are enough.
+	if f.rng.IntN(len(f.listed)) < announceAllBelow {
+		f.sendLight(m)
+	}
 }
 
 func (f *Fleet) suspicionExpired(m *member) {
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -201,10 +201,15 @@
 		m.leaving = info.Leaving
 	}
 	if m != f.self {
-		// The settings decide the address and place of this instance itself.
 		m.address = info.Address
-		f.move(m, f.place(info.Place))
 	}
+	if m == f.self && m.place.id != info.Place {
+		f.warn("PlaceMismatch", string(m.id), string(m.place.id), string(info.Place))
+	}
+	// Peers know the place of this instance from the list only. With another
+	// place from its settings, the two sides would rank it differently and
+	// choose two leads.
+	f.move(m, f.place(info.Place))
 	f.updateMember(m)
 	return m
 }
@@ -359,10 +364,14 @@
 }
 
 // mergeSelf refutes a suspicion of this instance by a higher heartbeat and
-// tells some peers at once, so that it arrives before the exclusion.
+// tells some peers at once, so that it arrives before the exclusion. If a
+// later life of the same id exists, this one is not served any more.
 func (f *Fleet) mergeSelf(s *model.MemberState) {
 	if s.Incarnation > f.cfg.Incarnation {
-		f.warn("DuplicateInstance", string(s.ID), formatLife(f.cfg.Incarnation), formatLife(s.Incarnation))
+		if !f.superseded {
+			f.warn("DuplicateInstance", string(s.ID), formatLife(f.cfg.Incarnation), formatLife(s.Incarnation))
+		}
+		f.superseded = true
 		return
 	}
 	if s.Incarnation == f.cfg.Incarnation && s.Suspected && s.Heartbeat >= f.self.heartbeat {
