--- a/core/engine/incidents_test.go
+++ b/core/engine/incidents_test.go
@@ -263,7 +263,8 @@
 				t.Errorf("%d ticks, compared: %v", sum.Ticks, sum.Compared)
 			}
 			if len(sum.Differences) > 0 {
-				t.Logf("%d of %d ticks differ from the recorded ones; record with -update", len(sum.Differences), sum.Ticks)
+				t.Logf("%d of %d ticks differ from the recorded ones, so that the inputs do not answer the outputs any more; "+
+					"see that TestReplayGivesTheSameOutputs holds the outcome and record with -update", len(sum.Differences), sum.Ticks)
 			}
 		})
 	}
