--- a/core/engine/cluster_test.go
+++ b/core/engine/cluster_test.go
@@ -24,6 +24,8 @@
 	// streamLost is the time after which the driver gives up a stream whose
 	// peer is silent (keepalive), openTimeout that after which a new one fails.
 	streamLost, openTimeout = 12 * second, second
+	// maxTicks is far above the ticks that the inputs of one instant can need.
+	maxTicks = 5000
 	// withdrawal is the time of statements 4, 8 and 10 of design section 1.
 	withdrawal = 3 * second
 	// restartSeen is the time until a lead can know of a restart: a probe
@@ -85,6 +87,8 @@
 	stopped  time.Duration
 	unready  time.Duration // when it was last not ready
 	config   *objects.Set
+	tickedAt time.Duration
+	ticks    int // at tickedAt
 	cfg      model.CoreConfig
 	record   *trace.Writer
 }
@@ -398,6 +402,13 @@
 	for _, x := range in {
 		n.e.Step(x)
 	}
+	// A timer that stays in the past keeps the driver's loop busy for ever.
+	if n.tickedAt != n.c.now {
+		n.tickedAt, n.ticks = n.c.now, 0
+	}
+	if n.ticks++; n.ticks > maxTicks {
+		n.c.t.Fatalf("%s ticked %d times at %v, next wake %v", n.id, n.ticks, n.c.now, n.e.NextWake())
+	}
 	now := model.Now{Mono: n.c.now - n.slept, Boot: n.c.now}
 	out := slices.Clone(n.e.Tick(now))
 	if n.record != nil {
