--- a/core/trace/doc.go
+++ b/core/trace/doc.go
@@ -6,4 +6,9 @@
 // field names of package model. Byte slices are base64, durations are
 // nanoseconds. A *objects.Set is not written: the raw canonical bytes beside it
 // are, and the reader parses them.
+//
+// Replay plays the inputs of a trace through an engine and compares the outputs
+// with the recorded ones. Only a trace without dropped records can be played,
+// because an engine has no form in which its state could be recorded. An Outcome
+// states in text what must be among the outputs.
 package trace
