query: hand queued work back when every request at a target is overdue

The work has not been sent, so another replica runs it without extra load. Before and after: new TestStalledTarget has 6 of 12 searches late without the change, none beyond the two in flight with it.

--- a/core/model/errors.go
+++ b/core/model/errors.go
@@ -55,6 +55,7 @@
 	KindTargetConnection Kind = 305 // connection to the target failed
 	KindTargetAnswer     Kind = 306 // answer contradicts the request
 	KindVersionGone      Kind = 307 // target no longer serves the version
+	KindTargetStalled    Kind = 308 // all requests in flight at the target are overdue
 	KindNotLead          Kind = 401 // asked instance does not lead the target
 	KindPeerLost         Kind = 402 // connection to an instance failed
 	KindOwnerLost        Kind = 403 // owner of the booking id is gone
@@ -86,6 +87,7 @@
 	KindTargetConnection: "TargetConnection",
 	KindTargetAnswer:     "TargetAnswer",
 	KindVersionGone:      "VersionGone",
+	KindTargetStalled:    "TargetStalled",
 	KindNotLead:          "NotLead",
 	KindPeerLost:         "PeerLost",
 	KindOwnerLost:        "OwnerLost",
--- a/core/query/attempt.go
+++ b/core/query/attempt.go
@@ -161,11 +161,25 @@
 		e.versionGone(a.target, c.search.snapshot)
 	}
 	p.free = refusedByTier(&o)
-	if o.err == model.KindNotLead && e.targets[a.target].lead.Instance != a.lead {
+	if e.mayAskAgain(&a, &o) {
 		p.forget(a.target)
 	}
 }
 
+// mayAskAgain reports whether the target may be asked a second time: at its
+// new lead, or if it stalled and there is no better replica.
+func (e *Engine) mayAskAgain(a *attempt, o *outcome) bool {
+	t := &e.targets[a.target]
+	switch o.err {
+	case model.KindNotLead:
+		return t.lead.Instance != a.lead
+	case model.KindTargetStalled:
+		t.latency, t.latencyAt = max(t.latency, jumpFactor*e.bestLatency(t.group)), e.now
+		return true
+	}
+	return false
+}
+
 // refusedByTier reports whether an instance refused the attempt because of
 // the state of the control plane. No target was asked, so the next attempt
 // adds no work: it takes nothing from the retry budget. Otherwise the budget
@@ -181,7 +195,7 @@
 		return false
 	}
 	switch o.err {
-	case model.KindNotLead, model.KindTargetOut, model.KindUnconfirmed, model.KindNotReady:
+	case model.KindNotLead, model.KindTargetOut, model.KindTargetStalled, model.KindUnconfirmed, model.KindNotReady:
 		return true
 	}
 	return false
--- a/core/query/booking.go
+++ b/core/query/booking.go
@@ -228,7 +228,7 @@
 		e.failBooking(a.booking, o.err)
 	default:
 		b.failure, b.free = o.err, refusedByTier(&o)
-		if o.err == model.KindNotLead && t.lead.Instance != a.lead {
+		if e.mayAskAgain(&a, &o) {
 			b.forget(a.target)
 		}
 		e.markBooking(a.booking)
--- a/core/query/policy_test.go
+++ b/core/query/policy_test.go
@@ -129,3 +129,32 @@
 		t.Errorf("%d extra of %d sub-requests, want at most 3 %%", extra, cost.SubRequests)
 	}
 }
+
+// Guards against searches that wait in the queue of a target that has stopped
+// answering although another replica is free and no hedge is left.
+func TestStalledTarget(t *testing.T) {
+	const searches = 12
+	s := newSim(1, 1, 2, 2, model.PolicyFull)
+	n := s.nodes[0]
+	s.set.Limits.HedgeShare = 0
+	for k := range 50 {
+		n.search(model.CallID(1000+k), callBudget)
+		s.run(10 * time.Millisecond)
+	}
+	n.e.setLimits(s.set.Limits)
+	s.onSend = func(_ *simNode, o model.SendTarget) bool { return o.Target == "g00-0" }
+	began := s.now
+	for k := range searches {
+		n.search(model.CallID(k+1), 2*time.Second)
+	}
+	s.run(3 * time.Second)
+	late := 0
+	for k := range searches {
+		if a := searchOf(t, s, model.CallID(k+1)); a.Searched == 0 || s.answered[a.Call]-began > 200*time.Millisecond {
+			late++
+		}
+	}
+	if late > 2 {
+		t.Errorf("%d of %d searches are late; only the two in flight can be", late, searches)
+	}
+}
--- a/core/query/queue.go
+++ b/core/query/queue.go
@@ -18,7 +18,8 @@
 	direct    bool // sent by a baseline policy without a lead
 	cancelled bool
 	arrived   time.Duration
-	pos       int32 // in the queue, none if not queued
+	sent      time.Duration // to the target
+	pos       int32         // in the queue, none if not queued
 	order     uint64
 	most      int // own work in flight at the target while this one ran
 }
@@ -34,6 +35,7 @@
 	queue    []int32 // heap by deadline
 	flight   []int32
 	settling []time.Duration // ends of the slots that still count as taken, rising
+	stalled  bool            // the queue was handed back since the last reply
 	timer    int32
 	dirty    bool
 	warmth
@@ -120,6 +122,7 @@
 			e.handBack(i, model.KindNotLead)
 		default:
 			e.pump(i)
+			e.handBackStalled(i)
 		}
 	}
 	if t.draining && t.taken(e.now) == 0 {
@@ -128,8 +131,33 @@
 	e.setTargetTimer(t)
 }
 
-// setTargetTimer sets the timer to the next time at which queued work expires
-// or a slot has settled.
+// handBackStalled returns the queue of a target at which every request is
+// overdue: queued work would wait at least as long, and as it has not been
+// sent, another replica can run it without extra load. Work that comes back,
+// because there is no other replica, waits until the target has replied.
+func (e *Engine) handBackStalled(i int32) {
+	t := &e.targets[i]
+	if len(t.queue) > 0 && !t.stalled && e.now >= e.stallAt(t) {
+		t.stalled = true
+		e.handBack(i, model.KindTargetStalled)
+	}
+}
+
+// stallAt is the time at which all requests in flight at a full target are
+// overdue.
+func (e *Engine) stallAt(t *target) time.Duration {
+	if t.service == 0 || len(t.flight) < t.room() {
+		return model.NoWake
+	}
+	var latest time.Duration
+	for _, i := range t.flight {
+		latest = max(latest, e.works.at(i).sent)
+	}
+	return latest + max(jumpFactor*t.service, jumpFloor)
+}
+
+// setTargetTimer sets the timer to the next time at which queued work expires,
+// a slot has settled or the target has stalled.
 func (e *Engine) setTargetTimer(t *target) {
 	at := model.NoWake
 	if len(t.queue) > 0 {
@@ -137,6 +165,9 @@
 		at = first.deadline - e.leastTime(first)
 	}
 	t.taken(e.now) // drops the slots that have settled
+	if len(t.queue) > 0 && !t.stalled {
+		at = min(at, e.stallAt(t))
+	}
 	if len(t.settling) > 0 && (len(t.queue) > 0 || t.draining) {
 		at = min(at, t.settling[0])
 	}
@@ -194,7 +225,7 @@
 func (e *Engine) sendWork(i int32) {
 	w := e.works.at(i)
 	t := &e.targets[w.target]
-	w.inFlight = true
+	w.inFlight, w.sent = true, e.now
 	t.flight = append(t.flight, i)
 	taken := t.taken(e.now)
 	for _, x := range t.flight {
@@ -228,6 +259,7 @@
 			t.settling = append(t.settling, e.now+cancelSettle)
 		}
 	}
+	t.stalled = false
 	e.markTarget(w.target)
 	e.workDone(i, outcome{err: in.Error, execution: in.Execution, answer: in.Answer})
 }
--- a/node/api/errors.go
+++ b/node/api/errors.go
@@ -41,6 +41,7 @@
 	model.KindNoSnapshot:      http.StatusServiceUnavailable,
 	model.KindTargetOut:       http.StatusServiceUnavailable,
 	model.KindTargetShed:      http.StatusServiceUnavailable,
+	model.KindTargetStalled:   http.StatusServiceUnavailable,
 	model.KindNotLead:         http.StatusServiceUnavailable,
 	model.KindDeadline:        http.StatusGatewayTimeout,
 }
