--- a/core/query/queue.go
+++ b/core/query/queue.go
@@ -24,12 +24,6 @@
 	most      int // own work in flight at the target while this one ran
 }
 
-// cancelSettle is the time for which the slot of work that ended without the
-// target's answer still counts as taken. The target learns of a cancellation
-// one link delay later, up to 4.5 ms between data centres, while new work on
-// another connection may overtake it.
-const cancelSettle = 10 * time.Millisecond
-
 // leadState is the state of a target at its lead.
 type leadState struct {
 	queue    []int32 // heap by deadline
@@ -131,31 +125,6 @@
 	e.setTargetTimer(t)
 }
 
-// handBackStalled returns the queue of a target at which every request is
-// overdue: queued work would wait at least as long, and as it has not been
-// sent, another replica can run it without extra load. Work that comes back,
-// because there is no other replica, waits until the target has replied.
-func (e *Engine) handBackStalled(i int32) {
-	t := &e.targets[i]
-	if len(t.queue) > 0 && !t.stalled && e.now >= e.stallAt(t) {
-		t.stalled = true
-		e.handBack(i, model.KindTargetStalled)
-	}
-}
-
-// stallAt is the time at which all requests in flight at a full target are
-// overdue.
-func (e *Engine) stallAt(t *target) time.Duration {
-	if t.service == 0 || len(t.flight) < t.room() {
-		return model.NoWake
-	}
-	var latest time.Duration
-	for _, i := range t.flight {
-		latest = max(latest, e.works.at(i).sent)
-	}
-	return latest + max(jumpFactor*t.service, jumpFloor)
-}
-
 // setTargetTimer sets the timer to the next time at which queued work expires,
 // a slot has settled or the target has stalled.
 func (e *Engine) setTargetTimer(t *target) {
@@ -178,16 +147,6 @@
 	e.timers.set(t.timer, at)
 }
 
-// taken is the number of slots that this lead's work may hold at the target.
-func (t *target) taken(now time.Duration) int {
-	n := 0
-	for n < len(t.settling) && t.settling[n] <= now {
-		n++
-	}
-	t.settling = append(t.settling[:0], t.settling[n:]...)
-	return len(t.flight) + len(t.settling)
-}
-
 func (e *Engine) pump(i int32) {
 	t := &e.targets[i]
 	for len(t.queue) > 0 {
@@ -283,9 +242,7 @@
 // as in flight until its reply.
 func (e *Engine) cancelWork(i int32) {
 	w := e.works.at(i)
-	if w.attempt != none {
-		w.attempt = none
-	}
+	w.attempt = none
 	if !w.inFlight {
 		if w.pos != none {
 			e.targets[w.target].pop(&e.works, w.pos)
@@ -300,89 +257,3 @@
 		e.emit(model.CancelTarget{Work: e.workID(i)})
 	}
 }
-
-// queueWait estimates how long new work for a led target waits for a slot.
-func (e *Engine) queueWait(i int32) time.Duration {
-	t := &e.targets[i]
-	return t.waitBehind(len(t.queue))
-}
-
-// waitBefore estimates the wait of work behind all work of an earlier deadline.
-func (e *Engine) waitBefore(w *work) time.Duration {
-	t := &e.targets[w.target]
-	ahead := 0
-	for _, q := range t.queue {
-		if e.works.at(q).deadline <= w.deadline {
-			ahead++
-		}
-	}
-	return t.waitBehind(ahead)
-}
-
-// waitBehind is the time until a slot is free for work behind n others.
-func (t *target) waitBehind(n int) time.Duration {
-	room := t.room()
-	ahead := n + len(t.flight) + 1 - room
-	if ahead <= 0 {
-		return 0
-	}
-	return t.service * time.Duration(ahead) / time.Duration(room)
-}
-
-func (t *target) push(ws *table[work], i int32) {
-	t.queue = append(t.queue, i)
-	ws.at(i).pos = int32(len(t.queue) - 1)
-	t.up(ws, int32(len(t.queue)-1))
-}
-
-// pop removes the work at a position of the queue.
-func (t *target) pop(ws *table[work], pos int32) {
-	last := int32(len(t.queue) - 1)
-	ws.at(t.queue[pos]).pos = none
-	if pos != last {
-		t.queue[pos] = t.queue[last]
-		ws.at(t.queue[pos]).pos = pos
-	}
-	t.queue = t.queue[:last]
-	if pos != last {
-		t.down(ws, pos)
-		t.up(ws, pos)
-	}
-}
-
-func (t *target) before(ws *table[work], a, b int32) bool {
-	x, y := ws.at(t.queue[a]), ws.at(t.queue[b])
-	if x.deadline != y.deadline {
-		return x.deadline < y.deadline
-	}
-	return x.order < y.order
-}
-
-func (t *target) swap(ws *table[work], a, b int32) {
-	t.queue[a], t.queue[b] = t.queue[b], t.queue[a]
-	ws.at(t.queue[a]).pos, ws.at(t.queue[b]).pos = a, b
-}
-
-func (t *target) up(ws *table[work], pos int32) {
-	for pos > 0 && t.before(ws, pos, (pos-1)/2) {
-		t.swap(ws, pos, (pos-1)/2)
-		pos = (pos - 1) / 2
-	}
-}
-
-func (t *target) down(ws *table[work], pos int32) {
-	n := int32(len(t.queue))
-	for {
-		first := pos
-		for child := 2*pos + 1; child <= 2*pos+2 && child < n; child++ {
-			if t.before(ws, child, first) {
-				first = child
-			}
-		}
-		if first == pos {
-			return
-		}
-		t.swap(ws, pos, first)
-		pos = first
-	}
-}
--- /dev/null
+++ b/core/query/wait.go
@@ -0,0 +1,31 @@
+package query
+
+import "time"
+
+// queueWait estimates how long new work for a led target waits for a slot.
+func (e *Engine) queueWait(i int32) time.Duration {
+	t := &e.targets[i]
+	return t.waitBehind(len(t.queue))
+}
+
+// waitBefore estimates the wait of work behind all work of an earlier deadline.
+func (e *Engine) waitBefore(w *work) time.Duration {
+	t := &e.targets[w.target]
+	ahead := 0
+	for _, q := range t.queue {
+		if e.works.at(q).deadline <= w.deadline {
+			ahead++
+		}
+	}
+	return t.waitBehind(ahead)
+}
+
+// waitBehind is the time until a slot is free for work behind n others.
+func (t *target) waitBehind(n int) time.Duration {
+	room := t.room()
+	ahead := n + len(t.flight) + 1 - room
+	if ahead <= 0 {
+		return 0
+	}
+	return t.service * time.Duration(ahead) / time.Duration(room)
+}
