--- a/testbed/capacity/fleet_test.go
+++ b/testbed/capacity/fleet_test.go
@@ -28,6 +28,7 @@
 	measure bool
 	cost    cost
 	adopted int
+	readied int // instances that became ready
 }
 
 type instance struct {
@@ -56,6 +57,12 @@
 	linkDelay = 2 * time.Millisecond
 )
 
+// sizes are numbers of instances and targets.
+var sizes = [][2]int{
+	{8, 2300}, {32, 2300}, {128, 2300}, {255, 2300}, {510, 2300},
+	{32, 60}, {32, 230}, {32, 575}, {32, 1150},
+}
+
 func instanceID(i int) model.InstanceID { return model.InstanceID(fmt.Sprintf("entry-%03d", i)) }
 
 func place(i int) string { return fmt.Sprintf("place-%d", i%7) }
@@ -100,16 +107,21 @@
 func newFleet(b testing.TB, members, targets int) *fleet {
 	f := &fleet{queue: map[time.Duration][]delivery{}}
 	f.set, f.raw = newSet(b, 1, targets)
+	list := listOf(members)
+	for i := range members {
+		f.start(i, 1, list)
+	}
+	return f
+}
+
+func listOf(members int) model.InstanceList {
 	list := model.InstanceList{OK: true}
 	for i := range members {
 		list.Instances = append(list.Instances, model.InstanceInfo{
 			ID: instanceID(i), Address: fmt.Sprintf("10.9.%d.%d:7000", i/250, i%250+1), Place: model.PlaceID(place(i)),
 		})
 	}
-	for i := range members {
-		f.start(i, 1, list)
-	}
-	return f
+	return list
 }
 
 // start starts a life of an instance.
@@ -191,6 +203,10 @@
 		}}})
 	case model.ReadConfig:
 		f.read(i, o)
+	case model.Ready:
+		if o.Ready {
+			f.readied++
+		}
 	case model.Event:
 		if o.Name == "ConfigAccepted" {
 			f.adopted++
@@ -230,6 +246,9 @@
 	if _, err := fmt.Sscanf(string(o.To), "entry-%d", &to); err != nil {
 		return
 	}
+	if to >= len(f.nodes) {
+		return // not started yet
+	}
 	d := delivery{to: to, from: i, in: model.PeerInput{From: instanceID(i), Incarnation: 1, Message: o.Message}}
 	if m, ok := o.Message.(model.ConfigSet); ok {
 		d.in = model.PeerConfig{From: instanceID(i), Raw: m.Raw, Set: f.set}
@@ -254,10 +273,7 @@
 // BenchmarkControl measures what control costs one instance in the steady
 // state, the codec of its messages included and the sockets not.
 func BenchmarkControl(b *testing.B) {
-	for _, size := range [][2]int{
-		{8, 2300}, {32, 2300}, {128, 2300}, {255, 2300}, {510, 2300},
-		{32, 60}, {32, 230}, {32, 575}, {32, 1150},
-	} {
+	for _, size := range sizes {
 		b.Run(fmt.Sprintf("instances=%d/targets=%d", size[0], size[1]), func(b *testing.B) {
 			for b.Loop() {
 				f := newFleet(b, size[0], size[1])
@@ -279,10 +295,7 @@
 
 // BenchmarkMemory measures the heap that the core of one instance holds.
 func BenchmarkMemory(b *testing.B) {
-	for _, size := range [][2]int{
-		{8, 2300}, {32, 2300}, {128, 2300}, {255, 2300}, {510, 2300},
-		{32, 60}, {32, 230}, {32, 575}, {32, 1150},
-	} {
+	for _, size := range sizes {
 		b.Run(fmt.Sprintf("instances=%d/targets=%d", size[0], size[1]), func(b *testing.B) {
 			for b.Loop() {
 				f := newFleet(b, size[0], size[1])
@@ -338,3 +351,46 @@
 		})
 	}
 }
+
+// BenchmarkReturn starts a seventh of the fleet at once beside the others and
+// measures the time until all of it is ready, and the busiest second of the
+// first instance, which was there before.
+func BenchmarkReturn(b *testing.B) {
+	for _, members := range []int{56, 126, 252, 510} {
+		b.Run(fmt.Sprintf("instances=%d", members), func(b *testing.B) {
+			for b.Loop() {
+				before := members - members/7
+				f := newFleet(b, before, 2300)
+				f.run(15 * time.Second)
+				list := listOf(members)
+				for i := range before {
+					f.post(linkDelay, delivery{to: i, in: list})
+				}
+				for i := before; i < members; i++ {
+					f.start(i, 1, list)
+				}
+				f.measure, f.readied = true, 0
+				var ready time.Duration
+				var peak cost
+				for second := range 10 {
+					f.cost = cost{}
+					for range 100 {
+						f.run(10 * tickStep)
+						if ready == 0 && f.readied >= members-before {
+							ready = time.Duration(second)*time.Second + f.now%time.Second
+						}
+					}
+					peak.sentBytes = max(peak.sentBytes, f.cost.sentBytes)
+					peak.inBytes = max(peak.inBytes, f.cost.inBytes)
+					peak.busy = max(peak.busy, f.cost.busy)
+					peak.reads = max(peak.reads, f.cost.reads)
+				}
+				b.ReportMetric(ready.Seconds(), "all-ready-s")
+				b.ReportMetric(float64(peak.sentBytes), "peak-sent-B/s")
+				b.ReportMetric(float64(peak.inBytes), "peak-received-B/s")
+				b.ReportMetric(100*peak.busy.Seconds(), "peak-core-%")
+				b.ReportMetric(float64(peak.reads), "peak-fleet-reads/s")
+			}
+		})
+	}
+}
