--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -56,7 +56,7 @@
 	{mCallSeconds, "seconds", "Sum of the times from arrival to answer, by kind of call; divide by calls for the mean."},
 	{mSubRequests, "requests", "First attempts of searches answered here."},
 	{mHedges, "requests", "Hedges of searches answered here. Limit: hedge_share of sub_requests."},
-	{mRetries, "requests", "Retries of searches answered here. Limit: retry_share of sub_requests."},
+	{mRetries, "requests", "Retries of searches answered here. Limit: retry_share of sub_requests, without those that no target had been asked for."},
 	{mRestarts, "queries", "Searches started again on a newer index version."},
 	{mPartialAnswers, "calls", "Searches answered with a coverage below 1."},
 	{mTargetReplies, "requests", "Requests to targets that ended, by execution."},
