testbed: measure the daemons' allocations for each sub-request

Cause: the cost against a bare fan-out lacked the allocations. Change: a benchmark that reads the daemons' expvar memory statistics.

--- a/testbed/capacity/process_test.go
+++ b/testbed/capacity/process_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -86,3 +88,50 @@
 	}
 	return sum / float64(len(c.Instances))
 }
+
+// BenchmarkAllocations measures the heap allocations of all daemons for each
+// sub-request, without those of the same time spent idle.
+func BenchmarkAllocations(b *testing.B) {
+	const searches = 200
+	for _, groups := range []int{20, 30, 85} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			for b.Loop() {
+				c := startCell(b, 8, groups)
+				before, began := mallocs(b, c), time.Now()
+				for i := range searches {
+					if _, err := c.Instances[i%8].Search(b.Context(), "request", "{}", time.Second); err != nil {
+						b.Fatal(err)
+					}
+				}
+				took := time.Since(began)
+				busy := mallocs(b, c) - before
+				before = mallocs(b, c)
+				time.Sleep(took) // the same time without searches
+				idle := mallocs(b, c) - before
+				b.ReportMetric((busy-idle)/float64(searches*groups), "allocs/sub-request")
+				c.Kill()
+			}
+		})
+	}
+}
+
+// mallocs is the sum of the heap allocations of all daemons since their start.
+func mallocs(b *testing.B, c *cell.Cell) float64 {
+	sum := 0.0
+	for _, in := range c.Instances {
+		resp, err := http.Get(in.Entry + "/debug/vars")
+		if err != nil {
+			b.Fatal(err)
+		}
+		var vars struct {
+			Memstats struct{ Mallocs float64 } `json:"memstats"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&vars)
+		_ = resp.Body.Close()
+		if err != nil {
+			b.Fatal(err)
+		}
+		sum += vars.Memstats.Mallocs
+	}
+	return sum
+}
