query: separate what a stalled target changes from what may be asked again

Cause: on reading the whole change, mayAskAgain was a predicate that changed the latency estimate, refusedByTier also covered lost leads, the factor of an empty group's latency overflowed (harmless, because max then kept the estimate), and an optional interface had a single implementation. Change: noteStall and isRetryFree, a bound that no factor overflows, SuccessorOf as part of view.View. Behaviour is the same.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -294,7 +294,7 @@
 // Successor implements view.View.
 func (f *Fleet) Successor() model.InstanceID { return f.SuccessorOf(f.cfg.Self) }
 
-// SuccessorOf implements view.Successors.
+// SuccessorOf implements view.View.
 func (f *Fleet) SuccessorOf(id model.InstanceID) model.InstanceID {
 	key := rank.Hash("booking:" + string(id))
 	var best *member
--- a/core/query/attempt.go
+++ b/core/query/attempt.go
@@ -160,7 +160,8 @@
 	if o.err == model.KindVersionGone || o.err == model.KindTargetAnswer && o.answer.Snapshot > c.search.snapshot {
 		e.versionGone(a.target, c.search.snapshot)
 	}
-	p.free = refusedByTier(&o)
+	p.free = isRetryFree(&o)
+	e.noteStall(&a, &o)
 	if e.mayAskAgain(&a, &o) {
 		p.forget(a.target)
 	}
@@ -169,25 +170,24 @@
 // mayAskAgain reports whether the target may be asked a second time: at its
 // new lead, or if it stalled and there is no better replica.
 func (e *Engine) mayAskAgain(a *attempt, o *outcome) bool {
-	t := &e.targets[a.target]
 	switch o.err {
 	case model.KindNotLead:
-		return t.lead.Instance != a.lead
+		return e.targets[a.target].lead.Instance != a.lead
 	case model.KindTargetStalled:
-		t.latency, t.latencyAt = max(t.latency, jumpFactor*e.bestLatency(t.group)), e.now
 		return true
 	}
 	return false
 }
 
-// refusedByTier reports whether an instance refused the attempt because of
-// the state of the control plane. No target was asked, so the next attempt
-// adds no work: it takes nothing from the retry budget. Otherwise the budget
-// would not last for the moment in which a data centre leaves.
+// isRetryFree reports whether the next attempt takes nothing from the retry
+// budget: an instance refused this one because of the state of the control
+// plane or of the target's queue. No target was asked, so the next attempt
+// adds no work. Otherwise the budget would not last for the moment in which a
+// data centre leaves.
 //
 // The attempts that a lost lead held are free too: their number is bounded by
 // what was in progress, and the targets drop the work of a lead that died.
-func refusedByTier(o *outcome) bool {
+func isRetryFree(o *outcome) bool {
 	if o.err == model.KindPeerLost {
 		return true
 	}
--- a/core/query/booking.go
+++ b/core/query/booking.go
@@ -227,7 +227,8 @@
 		// Another attempt so late would end as "unknown".
 		e.failBooking(a.booking, o.err)
 	default:
-		b.failure, b.free = o.err, refusedByTier(&o)
+		b.failure, b.free = o.err, isRetryFree(&o)
+		e.noteStall(&a, &o)
 		if e.mayAskAgain(&a, &o) {
 			b.forget(a.target)
 		}
--- a/core/query/handover.go
+++ b/core/query/handover.go
@@ -5,7 +5,6 @@
 	"strconv"
 
 	"galenadyke.dev/core/model"
-	"galenadyke.dev/core/view"
 )
 
 const (
@@ -158,8 +157,5 @@
 	if id == e.cfg.Self {
 		return e.view.Successor()
 	}
-	if s, ok := e.view.(view.Successors); ok {
-		return s.SuccessorOf(id)
-	}
-	return ""
+	return e.view.SuccessorOf(id)
 }
--- a/core/query/latency.go
+++ b/core/query/latency.go
@@ -72,9 +72,14 @@
 	return e.now-t.latencyAt >= max(t.trialAfter, trialMin) && t.latency > slowFactor*e.bestLatency(t.group)
 }
 
-// bestLatency is the lowest latency of the group's targets that may get work.
+// noLatency is above every latency. Its product with slowFactor or jumpFactor
+// does not overflow.
+const noLatency time.Duration = math.MaxInt64 / max(slowFactor, jumpFactor)
+
+// bestLatency is the lowest latency of the group's targets that may get work,
+// noLatency if there are none.
 func (e *Engine) bestLatency(g int32) time.Duration {
-	best := time.Duration(math.MaxInt64 / slowFactor)
+	best := noLatency
 	for _, i := range e.groups[g].replicas {
 		if t := &e.targets[i]; e.usable(t) {
 			best = min(best, t.latency)
@@ -83,6 +88,19 @@
 	return best
 }
 
+// noteStall takes over that the lead found every request at the target overdue,
+// that is, jumpFactor times as old as usual.
+func (e *Engine) noteStall(a *attempt, o *outcome) {
+	if o.err != model.KindTargetStalled {
+		return
+	}
+	t := &e.targets[a.target]
+	t.latencyAt = e.now
+	if best := e.bestLatency(t.group); best < noLatency {
+		t.latency = max(t.latency, jumpFactor*best)
+	}
+}
+
 // observe takes what an outcome says about the target and its lead.
 func (e *Engine) observe(a *attempt, o *outcome) {
 	t := &e.targets[a.target]
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -65,15 +65,9 @@
 	// Successor is the next ranked member, which takes over the booking ids of
 	// a stopping instance. It is empty if there is none.
 	Successor() model.InstanceID
-}
-
-// Successors is implemented by a View that knows which member took over the
-// booking ids of another instance that has stopped. Without it, calls for
-// such ids are answered "unknown".
-type Successors interface {
-	// SuccessorOf is the member whose id the instance's own Successor
-	// returned, as far as the ranking of the present members tells. It is
-	// empty if there is none.
+	// SuccessorOf is the member that took over the booking ids of another
+	// instance that has stopped, as far as the ranking of the present members
+	// tells. It is empty if there is none.
 	SuccessorOf(model.InstanceID) model.InstanceID
 }
 
