testbed: use the daemon's settings and one server group

Cause: the cell kept a copy of the daemon's settings that could drift from it, and both stand-ins had the same code to serve and to stop. Change: the cell writes node/settings.Settings; testbed/serve holds the servers of a process for both stand-ins.

--- a/testbed/cell/processes.go
+++ b/testbed/cell/processes.go
@@ -8,31 +8,12 @@
 	"path/filepath"
 	"strings"
 
-	"galenadyke.dev/core/model"
 	"galenadyke.dev/ctl/client"
+	"galenadyke.dev/node/settings"
 	"galenadyke.dev/testbed/proc"
 	"galenadyke.dev/testbed/target"
-	"galenadyke.dev/testbed/units"
 )
 
-// settingsFile is the JSON form of a daemon's settings.
-type settingsFile struct {
-	Instance         string         `json:"instance"`
-	Place            string         `json:"place"`
-	HTTPListen       string         `json:"http_listen"`
-	GRPCListen       string         `json:"grpc_listen"`
-	ConfigURL        string         `json:"config_url"`
-	ConfigKey        string         `json:"config_key"`
-	InstancesURL     string         `json:"instances_url"`
-	InstancesService string         `json:"instances_service"`
-	Policy           model.Policy   `json:"policy"`
-	Seed             uint64         `json:"seed"`
-	FixedHedgeDelay  units.Duration `json:"fixed_hedge_delay"`
-	BalancerDelay    units.Duration `json:"balancer_delay"`
-	StopTimeout      units.Duration `json:"stop_timeout"`
-	LogLevel         string         `json:"log_level"`
-}
-
 func (c *Cell) startPlatform(name string, endpoints int) (*Platform, error) {
 	listen := strings.TrimSuffix(strings.Repeat("127.0.0.1:0,", endpoints), ",")
 	p, err := proc.Start(c.Spec.Dir, name, filepath.Join(c.Spec.Bin, "testbed-platform"), "-listen", listen)
@@ -85,13 +66,17 @@
 		in.platform = i
 	}
 	in.settings = filepath.Join(c.Spec.Dir, in.ID+".json")
-	return in, writeJSON(in.settings, settingsFile{
-		Instance: in.ID, Place: in.Place, HTTPListen: ports[0], GRPCListen: in.peer,
-		ConfigURL: "http://" + c.Config.started.Endpoints[in.platform], ConfigKey: configKey,
-		InstancesURL: "http://" + c.List.started.Endpoints[in.platform], InstancesService: serviceName,
-		Policy: c.Spec.Policy, Seed: c.Spec.Seed + uint64(i), FixedHedgeDelay: c.Spec.FixedHedgeDelay,
-		BalancerDelay: c.Spec.BalancerDelay, StopTimeout: c.Spec.StopTimeout, LogLevel: c.Spec.LogLevel,
-	})
+	file := settings.Defaults()
+	file.Instance, file.Place = in.ID, in.Place
+	file.HTTPListen, file.GRPCListen = ports[0], in.peer
+	file.ConfigURL, file.ConfigKey = "http://"+c.Config.started.Endpoints[in.platform], configKey
+	file.InstancesURL, file.InstancesService = "http://"+c.List.started.Endpoints[in.platform], serviceName
+	file.Policy, file.Seed = c.Spec.Policy, c.Spec.Seed+uint64(i)
+	file.FixedHedgeDelay = settings.Duration(c.Spec.FixedHedgeDelay)
+	file.BalancerDelay = settings.Duration(c.Spec.BalancerDelay)
+	file.StopTimeout = settings.Duration(c.Spec.StopTimeout)
+	file.LogLevel = c.Spec.LogLevel
+	return in, writeJSON(in.settings, file)
 }
 
 // StartInstance starts a daemon, also one that has ended.
--- a/testbed/platform/server.go
+++ b/testbed/platform/server.go
@@ -1,14 +1,13 @@
 package platform
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"time"
+
+	"galenadyke.dev/testbed/serve"
 )
 
 // maxPublishBytes bounds a published value. It is above Consul's limit on
@@ -17,9 +16,9 @@
 
 // Server is one process of the platform.
 type Server struct {
+	serve.Group
 	store     *store
 	endpoints []*endpoint
-	servers   []*http.Server
 	started   Started
 }
 
@@ -64,13 +63,7 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	s.servers = append(s.servers, server)
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			panic(err) // a stand-in that serves in part would mislead a test
-		}
-	}()
+	s.Serve(l, h)
 	return l.Addr().String(), nil
 }
 
@@ -131,19 +124,3 @@
 
 // Started returns the addresses that the process listens on.
 func (s *Server) Started() Started { return s.started }
-
-// Shutdown waits for reads in progress, until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) {
-	for _, server := range s.servers {
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
-	}
-}
-
-// Close ends all servers at once.
-func (s *Server) Close() {
-	for _, server := range s.servers {
-		_ = server.Close()
-	}
-}
--- a/testbed/target/server.go
+++ b/testbed/target/server.go
@@ -1,18 +1,16 @@
 package target
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"time"
+
+	"galenadyke.dev/testbed/serve"
 )
 
 // Server serves the targets of one process.
 type Server struct {
+	serve.Group
 	targets []*target
-	servers []*http.Server
 	started Started
 }
 
@@ -38,7 +36,7 @@
 		t := newTarget(tc, l)
 		s.targets = append(s.targets, t)
 		s.started.Targets[tc.Name] = l.address
-		s.serve(l, t.handler())
+		s.Serve(l, t.handler())
 	}
 	control, err := net.Listen("tcp", cfg.Control)
 	if err != nil {
@@ -46,35 +44,9 @@
 		return nil, fmt.Errorf("control endpoint: %w", err)
 	}
 	s.started.Control = control.Addr().String()
-	s.serve(control, s.control())
+	s.Serve(control, s.control())
 	return s, nil
 }
 
-func (s *Server) serve(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	s.servers = append(s.servers, server)
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			panic(err) // a stand-in that serves in part would mislead a test
-		}
-	}()
-}
-
 // Started returns the addresses that the process listens on.
 func (s *Server) Started() Started { return s.started }
-
-// Shutdown waits for requests in progress, until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) {
-	for _, server := range s.servers {
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
-	}
-}
-
-// Close ends all servers at once.
-func (s *Server) Close() {
-	for _, server := range s.servers {
-		_ = server.Close()
-	}
-}
