--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 demo: build
 	bin/testbed-demo
 
-bench:
+bench: build
 	go test -run '^$$' -bench . -benchmem work
 
 gen:
