--- a/core/gateway/exchange.go
+++ b/core/gateway/exchange.go
@@ -39,14 +39,19 @@
 
 // StoreItem is an item of the platform's store, in the platform's own form.
 type StoreItem struct {
-	Key   string
-	Value []byte
-	Rev   uint64 // the store's revision of the last change
+	Key     string
+	Value   []byte
+	Rev     uint64 // the store's revision of the last change
+	Deleted bool
 }
 
-// StoreSnapshot is what the store held at a revision. Instances pass it on to
-// others that the store does not answer.
-type StoreSnapshot struct {
+// StoreChange is what has changed in the store since an earlier revision.
+// Instances pass it on to those that do not read the store.
+type StoreChange struct {
 	Revision uint64
 	Items    []StoreItem
+	// Complete says that the items replace all that is known.
+	Complete bool
+	// Lost says that the store does not answer the sender.
+	Lost bool
 }
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -14,6 +14,8 @@
 	// Address is where other instances send state messages.
 	Address string
 	Place   model.PlaceID
+	// Capacity is the processor of this instance in cores.
+	Capacity float64
 	// Life tells the lives of an instance apart; it is drawn at the start.
 	Life uint64
 	// Seeds are addresses of state messages of instances that may exist.
@@ -33,7 +35,9 @@
 type Gateway struct {
 	cfg Config
 	now time.Duration // Boot clock of the present tick
-	rng *rand.Rand
+	// startedAt is the time of the first tick.
+	startedAt time.Duration
+	rng       *rand.Rand
 
 	inputs []Input
 	out    []Output
@@ -54,6 +58,8 @@
 	lastID   AttemptID
 
 	members members
+	source  source
+	gather  gatherState
 	stop    stopState
 	ready   ReadyChanged
 }
@@ -111,7 +117,7 @@
 }
 
 func (g *Gateway) begin() {
-	g.store.answeredAt = g.now
+	g.startedAt = g.now
 	g.gossip()
 }
 
@@ -131,6 +137,8 @@
 		g.storeAnswered()
 	case StoreFailed:
 		g.storeFailed(in)
+	case SourceFailed:
+		g.sourceFailed(in)
 	case StateReceived:
 		g.stateReceived(in)
 	case Stop:
@@ -150,9 +158,15 @@
 		before = g.config.Version
 	}
 	g.config, g.routes = c, newRoutes(c)
+	g.gather.places = nil
 	for _, s := range c.Services {
 		g.service(s.Name).limits = s
 	}
+	for i := range c.Routes {
+		for _, id := range c.Routes[i].Shards {
+			g.service(id).shard = true
+		}
+	}
 	g.emit(Event{Name: "ConfigurationAdopted", Subject: string(g.cfg.Self), Before: number(before), After: number(c.Version)})
 }
 
--- /dev/null
+++ b/core/gateway/gatherers.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"galenadyke.dev/core/model"
+)
+
+// A query of many shards costs an instance far more than passing on its answer:
+// a message for each shard, a part from each, and a connection to each target.
+// So it is gathered by an instance with the capacity for it, in a data centre
+// that has targets of the shards. Only the greatest records and the stamps of
+// the parts come back, and the connections to the targets are few and warm.
+
+// strong reports whether a capacity is enough to gather for others.
+func (g *Gateway) strong(capacity float64) bool {
+	return capacity >= gathererCapacity*max(g.cfg.Capacity, g.members.capacity)
+}
+
+// shardPlaces returns the data centres that have targets of enough of a route's
+// shards. It is kept until a target, an evacuation or the configuration changes.
+func (g *Gateway) shardPlaces(route *Route) map[model.PlaceID]bool {
+	if g.gather.places == nil {
+		g.gather.places = make(map[string]map[model.PlaceID]bool)
+	}
+	if places, ok := g.gather.places[route.Name]; ok {
+		return places
+	}
+	places := g.findShardPlaces(route)
+	g.gather.places[route.Name] = places
+	return places
+}
+
+func (g *Gateway) findShardPlaces(route *Route) map[model.PlaceID]bool {
+	count := make(map[model.PlaceID]int)
+	most := 0
+	for _, id := range route.Shards {
+		var seen []model.PlaceID
+		for _, t := range g.service(id).targets {
+			if g.open(t) && !slices.Contains(seen, t.Place) {
+				seen = append(seen, t.Place)
+				count[t.Place]++
+				most = max(most, count[t.Place])
+			}
+		}
+	}
+	places := make(map[model.PlaceID]bool, len(count))
+	for p, n := range count {
+		places[p] = float64(n) >= gathererShards*float64(most)
+	}
+	return places
+}
+
+// isGatherer reports whether this instance gathers the route itself.
+func (g *Gateway) isGatherer(route *Route) bool {
+	return g.strong(g.cfg.Capacity) && g.shardPlaces(route)[g.cfg.Place]
+}
+
+// delegate passes a request on to an instance that gathers. It reports false if
+// this instance gathers itself.
+func (g *Gateway) delegate(r *request) bool {
+	if len(r.route.Shards) < minDelegatedShards || g.isGatherer(r.route) {
+		return false
+	}
+	m := g.chooseGatherer(r)
+	if m == nil {
+		return false
+	}
+	g.lastID++
+	a := &attempt{id: g.lastID, request: r, route: r.route, gatherer: m, sentAt: g.now}
+	g.attempts[a.id] = a
+	m.delegated++
+	r.alive++
+	r.sent++
+	r.asked = append(r.asked, m.Name)
+	way := g.roundTrip(m.Place) / 2
+	g.emit(Delegate{Attempt: a.id, Request: r.id, To: m.Address, Objective: r.objective - way, Deadline: r.deadline - way,
+		CallerDeadline: r.callerDeadline, Configuration: g.config.Version})
+	g.after(time.Duration(delegateProbeShare*float64(r.objective-g.now)), func() { g.probeGatherer(a) })
+	return true
+}
+
+// minDelegatedShards is the least number of shards for which the messages saved
+// outweigh the one that is added.
+const minDelegatedShards = 4
+
+// chooseGatherer returns the instance with the least work of this one in the
+// nearest data centre, or nil.
+func (g *Gateway) chooseGatherer(r *request) *member {
+	places := g.shardPlaces(r.route)
+	var best *member
+	var bestCost float64
+	for _, name := range sortedKeys(g.members.byName) {
+		m := g.members.byName[name]
+		if !g.alive(m) || !m.Serving || m.avoidUntil > g.now || !places[m.Place] || !g.strong(m.Capacity) ||
+			m.Configuration < g.config.Version || slices.Contains(r.asked, name) {
+			continue
+		}
+		cost := float64(m.delegated) + g.rng.Float64()
+		if m.Place != g.cfg.Place {
+			cost += remoteGathererCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	return best
+}
+
+// remoteGathererCost is the number of requests that an instance in the own data
+// centre may have more than one in another.
+const remoteGathererCost = 8
+
+// delegateEnded handles the answer of an instance that gathered.
+func (g *Gateway) delegateEnded(a *attempt, in AttemptEnded) {
+	r, m := a.request, a.gatherer
+	m.delegated--
+	r.alive--
+	ran := in.Outcome.ran()
+	r.mayHaveRun = r.mayHaveRun || ran
+	switch {
+	case r.ended:
+	case in.Outcome == OutcomeSuccess:
+		g.answer(r, Answer{Kind: AnswerGathered, Stamps: in.Gathered.Stamps, Missing: in.Gathered.Missing, Records: in.Gathered.Records})
+	case in.Outcome == OutcomeFailure:
+		// The instance has tried all that the budget allows.
+		g.fail(r, in.Cause)
+	case ran:
+		// Attempts count for each shard, and the instance may have made them.
+		g.avoidGatherer(m, in)
+		g.fail(r, "the gathering instance "+string(m.Name)+" failed: "+in.Cause)
+	default:
+		r.cause = in.Cause
+		g.avoidGatherer(m, in)
+		if r.alive == 0 {
+			g.delegateAgain(r)
+		}
+	}
+	g.forget(r)
+}
+
+// avoidGatherer passes over an instance that did not do its work. One that could
+// not gather for want of targets has done it.
+func (g *Gateway) avoidGatherer(m *member, in AttemptEnded) {
+	if in.Outcome == OutcomeShed {
+		return
+	}
+	m.avoidUntil = g.now + gathererAvoid
+	g.emit(Event{Name: "GathererAvoided", Subject: string(m.Name), Before: "asked", After: in.Cause, Warning: true})
+}
+
+// delegateAgain asks another instance, or gathers here if none is left. The one
+// before has sent nothing.
+func (g *Gateway) delegateAgain(r *request) {
+	switch {
+	case r.deadline-g.now < minSendTime:
+		g.fail(r, "no time is left for another attempt: "+r.cause)
+	case len(r.asked) < maxGatherers && g.delegate(r):
+	default:
+		g.startParts(r)
+	}
+}
+
+// maxGatherers bounds the instances that are asked for one request.
+const maxGatherers = 2
+
+// probeGatherer asks a gathering instance that has not answered yet whether it
+// lives. If it does not say so, its requests are given up while their callers
+// can still ask again, and it gets no others until it is heard of.
+func (g *Gateway) probeGatherer(a *attempt) {
+	m := a.gatherer
+	if g.attempts[a.id] == nil || g.now < m.avoidUntil || g.now-m.directAt < delegateProbeGap {
+		return
+	}
+	asked := g.now
+	ask := func() {
+		if m.directAt < asked {
+			g.emit(SendState{To: m.Address, State: g.stateMessage(true)})
+		}
+	}
+	ask()
+	g.after(delegateProbeGap, ask)
+	g.after(2*delegateProbeGap, func() {
+		if m.directAt < asked && g.members.byName[m.Name] == m {
+			g.gathererSilent(m)
+		}
+	})
+}
+
+// gathererSilent gives up what a silent instance was asked for.
+func (g *Gateway) gathererSilent(m *member) {
+	m.avoidUntil = g.now + gathererAvoid
+	g.emit(Event{Name: "GathererSilent", Subject: string(m.Name), Before: "asked", After: "silent", Warning: true})
+	for _, id := range sortedKeys(g.attempts) {
+		if a := g.attempts[id]; a != nil && a.gatherer == m && !a.request.ended {
+			a.request.mayHaveRun = true
+			g.fail(a.request, "the gathering instance "+string(m.Name)+" is silent")
+			g.emit(CancelAttempt{Attempt: id})
+		}
+	}
+}
+
+func (g *Gateway) cancelDelegates(r *request) {
+	for _, id := range sortedKeys(g.attempts) {
+		if a := g.attempts[id]; a.request == r && a.gatherer != nil {
+			g.emit(CancelAttempt{Attempt: id})
+		}
+	}
+}
+
+// sharers returns the number of instances that send to the targets of a
+// service: those that gather if it is a shard, else all.
+func (g *Gateway) sharers(s *service) int {
+	if !s.shard {
+		return g.fleetSize()
+	}
+	return max(minSharers, g.gatherers())
+}
+
+// minSharers is the least number of instances that shares are computed for: the
+// instances may not agree on who gathers.
+const minSharers = 3
+
+// gatherers counts the strong instances in data centres that have targets of
+// shards: the most of the last fleetMemory, counted each gossip interval.
+func (g *Gateway) gatherers() int {
+	if g.gather.count > 0 && g.now-g.gather.countedAt < gossipInterval {
+		return g.gather.count
+	}
+	g.gather.countedAt = g.now
+	places := make(map[model.PlaceID]bool)
+	for _, t := range g.targets {
+		if g.service(t.Service).shard {
+			places[t.Place] = true
+		}
+	}
+	n := 0
+	for _, s := range g.rankedMembers(storeKey) {
+		if places[s.Place] && g.strong(s.Capacity) {
+			n++
+		}
+	}
+	if n >= g.gather.count || g.now-g.gather.largestAt > fleetMemory {
+		g.gather.count, g.gather.largestAt = n, g.now
+	}
+	return g.gather.count
+}
+
+// gatherState is what is derived from the targets and members for gathering.
+type gatherState struct {
+	// places are the data centres with targets of a route's shards, by route name.
+	places map[string]map[model.PlaceID]bool
+	// count is the number of gathering instances.
+	count                int
+	countedAt, largestAt time.Duration
+}
--- a/core/gateway/hedge.go
+++ b/core/gateway/hedge.go
@@ -23,7 +23,7 @@
 func (g *Gateway) hedgeDelay(r *request, p *part, t *target) time.Duration {
 	usual := g.routeLatency(r.route.Name).quantile(hedgeQuantile, 2*defaultWork)
 	delay := max(minHedgeDelay, time.Duration(hedgeFactor*float64(usual)))
-	_, share := p.service.budget.left(g.now, g.cfg.Budget, g.fleetSize())
+	_, share := p.service.budget.left(g.now, g.cfg.Budget, g.sharers(p.service))
 	delay += time.Duration(float64(delay) * max(0, 1-share))
 	return g.roundTrip(t.Place) + delay
 }
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -26,6 +26,17 @@
 	// Remaining how long the caller waits from then on; 0 if it did not say.
 	At        time.Duration
 	Remaining time.Duration
+	// Delegated is set if another instance asks for its caller.
+	Delegated *Delegation
+}
+
+// Delegation is what another instance says of a request that it passes on.
+type Delegation struct {
+	// Objective and Deadline are how long an answer has its full worth, and is of
+	// any use, from the arrival on.
+	Objective, Deadline time.Duration
+	// Configuration is the version that the other instance has in force.
+	Configuration uint64
 }
 
 // CallerGone says that the caller has closed its connection.
@@ -85,6 +96,9 @@
 	Status int
 	// Part is the answer of a shard; it is set for a success on a gathering route.
 	Part Part
+	// Gathered is the answer of another instance; it is set for a success of a
+	// Delegate.
+	Gathered Gathered
 	// Load is the target's report, valid if HasLoad.
 	Load    Load
 	HasLoad bool
@@ -100,6 +114,13 @@
 // Load is a target's own report of its work.
 type Load struct{ Running, Waiting, Slots int }
 
+// Gathered is the answer of an instance that gathered for another one.
+type Gathered struct {
+	Stamps  []string
+	Missing int
+	Records []byte
+}
+
 // Part is the answer of one shard.
 type Part struct {
 	Stamp   string
@@ -130,6 +151,10 @@
 // StoreFailed says that a call to the store failed.
 type StoreFailed struct{ Cause string }
 
+// SourceFailed says that the instance from which the store's changes came does
+// not send them any more.
+type SourceFailed struct{ From, Cause string }
+
 // StateReceived is a state message of another instance.
 type StateReceived struct {
 	From  string // address of the sender
@@ -146,5 +171,6 @@
 func (StoreRead) isInput()         {}
 func (StoreAnswered) isInput()     {}
 func (StoreFailed) isInput()       {}
+func (SourceFailed) isInput()      {}
 func (StateReceived) isInput()     {}
 func (Stop) isInput()              {}
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -78,7 +78,7 @@
 
 	// budgetSafety is the part of the retry budget that is used; the rest covers
 	// differences between the windows of the instances and of the targets.
-	budgetSafety = 0.9
+	budgetSafety = 0.85
 	// budgetBuckets divides the window of the retry budget.
 	budgetBuckets = 20
 
@@ -92,20 +92,56 @@
 	// whose entry was removed during the outage is still used: entries of live
 	// targets are back within about 2 s.
 	lapseGrace = 2200 * time.Millisecond
-	// storeLostAfter is the time without an answer of the store after which it
-	// counts as unreachable.
-	storeLostAfter = time.Second
+	// sourceBehindAfter is how long another instance may know a later state of the
+	// store before this one asks it. The usual way takes less than half of it.
+	sourceBehindAfter = 800 * time.Millisecond
+	// allReadersBelow is the largest fleet in which every instance reads the store
+	// itself. Each call is priced, and waits for others cost time.
+	allReadersBelow = 12
+	// ownWatch and readerWatch are the longest watches of an instance that reads
+	// the store for itself and for others. A silent store shows about a second
+	// after their end; a configuration is to be in force everywhere within 3 s.
+	ownWatch    = 8 * time.Second
+	readerWatch = 1500 * time.Millisecond
+	// minReaders and membersPerReader give the number of readers in larger fleets:
+	// two may fail at once, and one serves the others with a message a second
+	// each.
+	minReaders       = 3
+	membersPerReader = 64
+	// sourceRetryAfter is how long a reader that failed is passed over.
+	sourceRetryAfter = 3 * time.Second
+	// sourceStartDelay is the time after the start in which members get known
+	// before an instance decides whether to read the store itself.
+	sourceStartDelay = 1200 * time.Millisecond
 
-	// gossipInterval is the time between two rounds of state messages.
-	gossipInterval = 500 * time.Millisecond
-	// gossipFanout is the number of members that get a message each round.
-	gossipFanout = 2
-	// gossipMembers bounds the members named in one message to about 1,200 bytes.
-	gossipMembers = 14
+	// gathererCapacity is the least capacity of a gathering instance, as a share
+	// of the largest in the fleet, and gathererShards the least share of a route's
+	// shards with a target in its data centre, as a share of the most.
+	gathererCapacity = 0.5
+	gathererShards   = 0.5
+	// gathererAvoid is how long an instance that failed to gather is passed over.
+	gathererAvoid = 2 * time.Second
+	// delegateProbeShare is the share of the time until the latency objective
+	// after which a gathering instance that has not answered is asked whether it
+	// lives. It is asked twice, delegateProbeGap apart, as datagrams get lost.
+	delegateProbeShare = 0.5
+	delegateProbeGap   = 40 * time.Millisecond
+
+	// gossipInterval is the time between two rounds of state messages. Each
+	// message of about 700 bytes is answered, so that the control traffic of an
+	// instance is about 3 KB/s in a fleet of any size.
+	gossipInterval = time.Second
+	// gossipNear is the share of the rounds that stay in the own data centre.
+	gossipNear = 0.75
+	// gossipStrong and gossipOthers bound the members named in one message that
+	// gather, and the rest.
+	gossipStrong = 10
+	gossipOthers = 3
 	// memberLostAfter and memberForgetAfter bound the silence of a member before
-	// it no longer counts as alive, and before it is dropped.
-	memberLostAfter   = 4 * time.Second
-	memberForgetAfter = 20 * time.Second
+	// it no longer counts as alive, and before it is dropped. News of a member is
+	// everywhere after about log2(instances) rounds.
+	memberLostAfter   = 8 * time.Second
+	memberForgetAfter = 30 * time.Second
 
 	// drainReadyDelay is the time for which a stopping instance still accepts new
 	// connections: two missed readiness checks of the balancer, 1 s apart.
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -22,6 +22,10 @@
 	Revision      uint64
 	// Serving is false for an instance that starts or stops.
 	Serving bool
+	// Reads is set while the store answers the instance.
+	Reads bool
+	// Capacity is the instance's processor in cores.
+	Capacity float64
 }
 
 // StateMessage is one state message: the sender and a part of its table.
@@ -36,8 +40,19 @@
 type member struct {
 	MemberState
 	heardAt time.Duration // when Beat last rose
+	// directAt is when the last message of the member itself came.
+	directAt time.Duration
+	// delegated counts the requests that it gathers for this instance now.
+	delegated int
+	// avoidUntil is set when it failed to answer one.
+	avoidUntil time.Duration
+	// aheadSince is when it was first seen with a later state of the store.
+	aheadSince time.Duration
 }
 
+// alive reports whether the member was heard of lately.
+func (g *Gateway) alive(m *member) bool { return g.now-m.heardAt < memberLostAfter }
+
 // members is the table of other instances.
 type members struct {
 	byName map[model.InstanceID]*member
@@ -45,6 +60,8 @@
 	// largest is the largest fleet seen, at largestAt.
 	largest   int
 	largestAt time.Duration
+	// capacity is the largest of a member that is alive, in cores.
+	capacity  float64
 	fetchedAt time.Duration
 	round     uint64
 }
@@ -57,9 +74,11 @@
 
 func (g *Gateway) countFleet() {
 	alive := 1
+	g.members.capacity = 0
 	for _, m := range g.members.byName {
-		if g.now-m.heardAt < memberLostAfter {
+		if g.alive(m) {
 			alive++
+			g.members.capacity = max(g.members.capacity, m.Capacity)
 		}
 	}
 	if alive >= g.members.largest || g.now-g.members.largestAt > fleetMemory {
@@ -69,7 +88,8 @@
 
 func (g *Gateway) self() MemberState {
 	s := MemberState{Name: g.cfg.Self, Address: g.cfg.Address, Place: g.cfg.Place, Life: g.cfg.Life,
-		Beat: g.members.beat, Revision: g.store.revision, Serving: g.ready.Ready}
+		Beat: g.members.beat, Revision: g.store.revision, Serving: g.ready.Ready,
+		Reads: !g.store.lost && !g.stop.begun, Capacity: g.cfg.Capacity}
 	if g.config != nil {
 		s.Configuration = g.config.Version
 	}
@@ -82,20 +102,27 @@
 	g.members.round++
 	g.forgetMembers()
 	g.countFleet()
+	g.chooseSource()
 	for _, address := range g.gossipPeers() {
 		g.emit(SendState{To: address, State: g.stateMessage(true)})
 	}
 	g.after(gossipInterval, g.gossip)
 }
 
-// gossipPeers draws the receivers of a round. Seeds that are not known as
-// members are tried in turn, so that fleets that do not know each other merge.
+// gossipPeers draws the receivers of a round: one member, most times of the own
+// data centre, as bytes between data centres are dear. Seeds that are not known
+// as members are tried in turn, so that fleets that do not know each other merge.
 func (g *Gateway) gossipPeers() []string {
-	names := sortedKeys(g.members.byName)
-	g.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	near := g.rng.Float64() < gossipNear
 	var to []string
-	for _, name := range names[:min(gossipFanout, len(names))] {
-		to = append(to, g.members.byName[name].Address)
+	for _, name := range g.shuffledMembers() {
+		m := g.members.byName[name]
+		if len(to) == 0 || (near && m.Place == g.cfg.Place) {
+			to = []string{m.Address}
+		}
+		if !near || m.Place == g.cfg.Place {
+			break
+		}
 	}
 	if n := len(g.cfg.Seeds); n > 0 {
 		seed := g.cfg.Seeds[g.members.round%uint64(n)]
@@ -117,17 +144,31 @@
 
 func (g *Gateway) stateMessage(ask bool) StateMessage {
 	message := StateMessage{Sender: g.self(), Ask: ask}
-	names := sortedKeys(g.members.byName)
-	g.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range names {
+	strong, others := 0, 0
+	for _, name := range g.shuffledMembers() {
 		m := g.members.byName[name]
-		if g.now-m.heardAt < memberLostAfter && len(message.Others) < gossipMembers {
+		if !g.alive(m) {
+			continue
+		}
+		// Whether a gathering instance lives matters to all, at once.
+		of, limit := &others, gossipOthers
+		if g.strong(m.Capacity) {
+			of, limit = &strong, gossipStrong
+		}
+		if *of < limit {
+			*of++
 			message.Others = append(message.Others, m.MemberState)
 		}
 	}
 	return message
 }
 
+func (g *Gateway) shuffledMembers() []model.InstanceID {
+	names := sortedKeys(g.members.byName)
+	g.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names
+}
+
 func (g *Gateway) forgetMembers() {
 	for _, name := range sortedKeys(g.members.byName) {
 		if m := g.members.byName[name]; g.now-m.heardAt > memberForgetAfter {
@@ -144,6 +185,7 @@
 		return
 	}
 	g.merge(sender, true)
+	g.members.byName[sender.Name].directAt = g.now
 	for _, m := range in.State.Others {
 		if m.Name != g.cfg.Self {
 			g.merge(m, false)
@@ -167,7 +209,7 @@
 		g.emit(Event{Name: "MemberSeen", Subject: string(s.Name), Before: "unknown", After: s.Address})
 	case m.Life == s.Life && s.Beat <= m.Beat:
 		return
-	case m.Life != s.Life && !direct && g.now-m.heardAt < memberLostAfter:
+	case m.Life != s.Life && !direct && g.alive(m):
 		return
 	}
 	m.MemberState, m.heardAt = s, g.now
@@ -175,12 +217,18 @@
 }
 
 // fetchIfBehind asks a member for the store's content if it knows a later one
-// and the store does not answer this instance.
+// and the source of this instance does not bring it.
 func (g *Gateway) fetchIfBehind(s MemberState) {
-	own := g.self()
-	behind := s.Revision > own.Revision || s.Configuration > own.Configuration
-	away := g.store.lost || !g.store.known || g.now-g.store.answeredAt > storeLostAfter
-	if !behind || !away || (g.members.fetchedAt > 0 && g.now-g.members.fetchedAt < gossipInterval/2) {
+	own, m := g.self(), g.members.byName[s.Name]
+	if s.Revision <= own.Revision && s.Configuration <= own.Configuration {
+		m.aheadSince = 0
+		return
+	}
+	if m.aheadSince == 0 {
+		m.aheadSince = g.now
+	}
+	away := g.store.lost || !g.store.known || g.now-m.aheadSince > sourceBehindAfter
+	if !away || (g.members.fetchedAt > 0 && g.now-g.members.fetchedAt < gossipInterval/2) {
 		return
 	}
 	g.members.fetchedAt = g.now
--- a/core/gateway/output.go
+++ b/core/gateway/output.go
@@ -23,6 +23,25 @@
 	Gather bool
 }
 
+// Delegate asks another instance to answer a request on a gathering route. One
+// AttemptEnded follows.
+type Delegate struct {
+	Attempt AttemptID
+	Request RequestID
+	To      string
+	// Objective, Deadline and CallerDeadline are on the Boot clock.
+	Objective, Deadline, CallerDeadline time.Duration
+	Configuration                       uint64
+}
+
+// FollowStore says where the store's changes come from from now on: from the
+// store itself, or from another instance.
+type FollowStore struct {
+	From string // address of the instance, empty for the store
+	// Watch is the longest watch of the store, 0 if From is set.
+	Watch time.Duration
+}
+
 // CancelAttempt ends an attempt early. Its AttemptEnded still follows.
 type CancelAttempt struct{ Attempt AttemptID }
 
@@ -115,6 +134,8 @@
 type Stopped struct{}
 
 func (SendAttempt) isOutput()    {}
+func (Delegate) isOutput()       {}
+func (FollowStore) isOutput()    {}
 func (CancelAttempt) isOutput()  {}
 func (OpenConnection) isOutput() {}
 func (ForgetTarget) isOutput()   {}
--- a/core/gateway/placement.go
+++ b/core/gateway/placement.go
@@ -86,7 +86,7 @@
 	if s.limits.MaxConnections == 0 {
 		return unboundedConnections
 	}
-	return max(1, int(connectionShare*float64(s.limits.MaxConnections))/g.fleetSize())
+	return max(1, int(connectionShare*float64(s.limits.MaxConnections))/g.sharers(s))
 }
 
 // unboundedConnections is used where no bound is published: far above what a
@@ -99,6 +99,6 @@
 	if t.coldUntil <= g.now || s.limits.WarmupRate <= 0 {
 		return true
 	}
-	share := (s.limits.WarmupRate*g.cfg.ColdOvershoot + g.cfg.ColdSlack) / float64(g.fleetSize())
+	share := (s.limits.WarmupRate*g.cfg.ColdOvershoot + g.cfg.ColdSlack) / float64(g.sharers(s))
 	return len(t.cold.recent(g.now)) < int(share)
 }
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -32,6 +32,8 @@
 	// alive counts attempts that have not ended, also after the answer.
 	alive int
 	ended bool
+	// asked are the instances that were asked to gather.
+	asked []model.InstanceID
 }
 
 // part is the work at one service.
@@ -64,7 +66,9 @@
 	route   *Route
 	part    int
 	target  *target
-	sentAt  time.Duration
+	// gatherer is set instead of target for a delegated request.
+	gatherer *member
+	sentAt   time.Duration
 }
 
 // arrive admits a request or answers it at once.
@@ -81,6 +85,22 @@
 	}
 	r := g.newRequest(in, route)
 	g.requests[r.id] = r
+	if in.Delegated == nil && g.delegate(r) {
+		g.schedule(r)
+		return
+	}
+	if d := in.Delegated; d != nil && d.Configuration > g.config.Version {
+		g.refuse(r, "this instance has an older configuration")
+		return
+	}
+	g.startParts(r)
+	if !r.ended {
+		g.schedule(r)
+	}
+}
+
+// startParts sends the parts of a request to targets.
+func (g *Gateway) startParts(r *request) {
 	if reason := g.refusal(r); reason != "" {
 		g.refuse(r, reason)
 		return
@@ -94,7 +114,6 @@
 			return
 		}
 	}
-	g.schedule(r)
 }
 
 func (g *Gateway) newRequest(in Arrived, route *Route) *request {
@@ -111,6 +130,9 @@
 	if route.LatencyObjective > 0 {
 		r.objective = min(r.deadline, in.At+max(route.LatencyObjective/2, route.LatencyObjective-objectiveReserve))
 	}
+	if d := in.Delegated; d != nil {
+		r.deadline, r.objective = in.At+d.Deadline, in.At+min(d.Objective, d.Deadline)
+	}
 	services := route.Shards
 	if len(services) == 0 {
 		services = []ServiceID{g.spreader(route).next(route.Backends)}
@@ -185,6 +207,10 @@
 		return
 	}
 	delete(g.attempts, in.Attempt)
+	if a.gatherer != nil {
+		g.delegateEnded(a, in)
+		return
+	}
 	g.observe(a, in)
 	r, p := a.request, &a.request.parts[a.part]
 	p.inFlight--
@@ -274,7 +300,7 @@
 // spend takes one attempt from the retry budget of a service if more than the
 // reserved share is left.
 func (g *Gateway) spend(s *service, reserve float64) bool {
-	attempts, share := s.budget.left(g.now, g.cfg.Budget, g.fleetSize())
+	attempts, share := s.budget.left(g.now, g.cfg.Budget, g.sharers(s))
 	if attempts < 1 || share < reserve {
 		return false
 	}
@@ -364,6 +390,7 @@
 	if r.alive == 0 {
 		return
 	}
+	g.cancelDelegates(r)
 	for i := range r.parts {
 		for _, t := range r.parts[i].service.targets {
 			for _, a := range t.inFlight {
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -9,8 +9,10 @@
 
 // service is a row of the table of services.
 type service struct {
-	id      ServiceID
-	limits  Service
+	id     ServiceID
+	limits Service
+	// shard is set if a gathering route names the service.
+	shard   bool
 	targets []*target // in the order in which they were listed
 	budget  retryBudget
 	// waiting are parts that wait for a target with a free connection.
@@ -59,9 +61,8 @@
 
 // storeState is what is known of the platform's store.
 type storeState struct {
-	known      bool // a complete read was adopted
-	revision   uint64
-	answeredAt time.Duration
+	known    bool // a complete read was adopted
+	revision uint64
 	// lost is set while the store does not answer, and returnedAt when it last
 	// answered again.
 	lost       bool
@@ -74,7 +75,6 @@
 		g.store.lost, g.store.returned, g.store.returnedAt = false, true, g.now
 		g.emit(Event{Name: "StoreRegained", Subject: "store", Before: "lost", After: "answers"})
 	}
-	g.store.answeredAt = g.now
 }
 
 func (g *Gateway) storeFailed(in StoreFailed) {
@@ -90,6 +90,7 @@
 		return
 	}
 	g.store.revision = in.Revision
+	g.gather.places = nil
 	if in.Complete {
 		g.replaceAll(in)
 	} else {
@@ -159,7 +160,7 @@
 		g.targets[in.ID] = t
 		s := g.service(in.Service)
 		s.targets = append(s.targets, t)
-		if in.State == TargetReady && g.mayOpenAhead(s) {
+		if in.State == TargetReady && g.mayOpenAhead(t, s) {
 			g.emit(OpenConnection{Target: t.ID, Address: t.Address})
 		}
 	} else if t.State != in.State {
@@ -173,10 +174,18 @@
 	}
 }
 
-// mayOpenAhead reports whether each instance may hold a connection to a target
-// of the service without work for it.
-func (g *Gateway) mayOpenAhead(s *service) bool {
-	return s.limits.MaxConnections == 0 || 2*g.fleetSize() <= s.limits.MaxConnections
+// mayOpenAhead reports whether this instance is likely to send work to a new
+// target, and the target can bear a connection of each such instance.
+func (g *Gateway) mayOpenAhead(t *target, s *service) bool {
+	if !g.strong(g.cfg.Capacity) || (s.limits.MaxConnections > 0 && 2*g.sharers(s) > s.limits.MaxConnections) {
+		return false
+	}
+	for _, other := range s.targets {
+		if other.Place == g.cfg.Place {
+			return true
+		}
+	}
+	return t.Place == g.cfg.Place
 }
 
 // unlist handles the removal of an entry. While the store was out of reach the
@@ -213,6 +222,7 @@
 
 // drop removes a target. Its attempts in flight go on.
 func (g *Gateway) drop(t *target) {
+	g.gather.places = nil
 	delete(g.targets, t.ID)
 	t.gone = true
 	s := g.service(t.Service)
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -21,7 +21,6 @@
 	"galenadyke.dev/core/gateway"
 	"galenadyke.dev/core/model"
 	"galenadyke.dev/node/driver"
-	"galenadyke.dev/node/gateway/gatewaypb"
 	"galenadyke.dev/node/settings"
 	"galenadyke.dev/node/telemetry"
 )
@@ -40,13 +39,26 @@
 	AttemptEnded(gateway.Outcome)
 	CallerLeft()
 	Unread(cause string)
+	Delegated(gateway.Outcome)
 	ConnectionOpened()
 }
 
 // Store follows the platform's store.
 type Store interface {
-	StoreContent
+	// Run reads the store until the context ends.
 	Run(context.Context)
+	// Watch says that the store itself is watched, each time for at most wait; 0
+	// says that changes come through Import.
+	Watch(wait time.Duration)
+	// Revision returns the revision up to which the store is known.
+	Revision() uint64
+	// Changes returns what has changed since a revision, and a channel that is
+	// closed at the next change.
+	Changes(since uint64) (gateway.StoreChange, <-chan struct{})
+	// Import takes over the changes of another instance, SourceState whether the
+	// store answers that one.
+	Import(gateway.StoreChange)
+	SourceState(lost bool)
 }
 
 // Platform is the adapter of the platform.
@@ -74,8 +86,13 @@
 	stopped chan struct{}
 	failed  chan error
 
+	clients *peerClients
+	clock   driver.SystemClock
+	// stopFollowing ends the follower of another instance. It is owned by the loop.
+	stopFollowing context.CancelFunc
+
 	mu    sync.Mutex // guards calls; held for map operations only
-	calls map[gateway.AttemptID]*call
+	calls map[gateway.AttemptID]func()
 
 	peerListener net.Listener
 	ctx          context.Context
@@ -98,24 +115,23 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, metrics: telemetry.NewGatewayMetrics(), stopped: make(chan struct{}), failed: make(chan error, 4),
-		calls: make(map[gateway.AttemptID]*call)}
+		calls: make(map[gateway.AttemptID]func()), clients: newPeerClients()}
 	d.ready.Store(&gateway.ReadyChanged{Reason: "the instance has just started"})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if d.log, err = telemetry.NewLog(w, s.LogLevel, d.metrics); err != nil {
 		return nil, err
 	}
-	clock := driver.SystemClock{}
 	core := gateway.New(gateway.Config{
-		Self: model.InstanceID(s.Instance), Address: s.PeerListen, Place: model.PlaceID(s.Place),
+		Self: model.InstanceID(s.Instance), Address: s.PeerListen, Place: model.PlaceID(s.Place), Capacity: s.Capacity,
 		Life: binary.LittleEndian.Uint64(random[:8]), Seed: binary.LittleEndian.Uint64(random[8:]), Seeds: seeds,
 		Budget:        gateway.BudgetLimits{Ratio: s.RetryRatio, Window: time.Duration(s.RetryWindow), Slack: s.RetrySlack},
 		ColdOvershoot: s.ColdOvershoot, ColdSlack: s.ColdSlack, StopTime: time.Duration(s.StopTimeout),
 	})
-	d.loop = driver.NewLoop(driver.Config[gateway.Input, gateway.Output]{Engine: core, Actor: d, Clock: clock, Observe: d.observe})
-	return d, d.listen(p, clock)
+	d.loop = driver.NewLoop(driver.Config[gateway.Input, gateway.Output]{Engine: core, Actor: d, Clock: d.clock, Observe: d.observe})
+	return d, d.listen(p)
 }
 
-func (d *Daemon) listen(p Platform, clock driver.SystemClock) error {
+func (d *Daemon) listen(p Platform) error {
 	s := d.settings
 	var listeners [4]net.Listener
 	for i, l := range []struct{ field, address string }{{"caller_listen", s.CallerListen}, {"ready_listen", s.ReadyListen},
@@ -130,15 +146,14 @@
 		return fmt.Errorf("peer_listen: %w; use a port that is free for TCP and UDP", err)
 	}
 	submit := d.loop.Submit
-	d.front = newFront(listeners[0], p.Protocol, submit, clock.Boot, d.metrics)
+	d.front = newFront(listeners[0], p.Protocol, submit, d.clock.Boot, d.metrics)
 	d.balancer = newServer(listeners[1], http.HandlerFunc(d.serveReady))
 	d.control = newServer(listeners[2], http.HandlerFunc(d.serveControl))
 	d.peerListener = listeners[3]
-	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), boot: clock.Boot}
+	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), boot: d.clock.Boot}
 	d.state = &stateLink{socket: socket, submit: submit, log: d.log}
 	d.store = p.OpenStore(s.Store, submit, d.log)
-	d.peers = grpc.NewServer()
-	gatewaypb.RegisterGatewayServer(d.peers, &snapshotServer{content: d.store})
+	d.peers = newPeerServer(&peerServer{store: d.store, front: d.front})
 	return nil
 }
 
@@ -190,6 +205,7 @@
 	}
 	d.cancel()
 	d.peers.Stop()
+	d.clients.closeAll()
 	d.state.socket.Close()
 	d.upstream.pools.closeAll()
 	d.loop.Stop()
@@ -227,6 +243,10 @@
 		d.metrics.SetReady(out.Ready)
 	case gateway.SendState:
 		d.state.send(out)
+	case gateway.Delegate:
+		d.delegate(out)
+	case gateway.FollowStore:
+		d.follow(out)
 	case gateway.FetchState:
 		go d.fetch(out.From)
 	case gateway.Event:
@@ -250,15 +270,11 @@
 		return
 	}
 	c := &call{out: out, req: req}
-	d.mu.Lock()
-	d.calls[out.Attempt] = c
-	d.mu.Unlock()
+	d.addCall(out.Attempt, c.cancel)
 	d.metrics.AttemptSent()
 	go func() {
 		ended, rep := d.upstream.do(c)
-		d.mu.Lock()
-		delete(d.calls, out.Attempt)
-		d.mu.Unlock()
+		d.removeCall(out.Attempt)
 		if rep != nil && !(out.Gather && ended.Outcome == gateway.OutcomeSuccess) {
 			req.keep(out.Attempt, rep)
 		}
@@ -267,12 +283,25 @@
 	}()
 }
 
+// addCall keeps the function that cancels an attempt.
+func (d *Daemon) addCall(id gateway.AttemptID, cancel func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls[id] = cancel
+}
+
+func (d *Daemon) removeCall(id gateway.AttemptID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.calls, id)
+}
+
 func (d *Daemon) cancelCall(id gateway.AttemptID) {
 	d.mu.Lock()
-	c := d.calls[id]
+	cancel := d.calls[id]
 	d.mu.Unlock()
-	if c != nil {
-		c.cancel()
+	if cancel != nil {
+		cancel()
 	}
 }
 
@@ -287,15 +316,6 @@
 	d.upstream.pools.put(poolKey{string(out.Target), out.Address}, c)
 }
 
-func (d *Daemon) fetch(from string) {
-	snapshot, err := fetchSnapshot(d.ctx, from)
-	if err != nil {
-		d.log.ReadFailed("instance "+from, err)
-		return
-	}
-	d.store.Import(snapshot)
-}
-
 // stopAccepting closes callers' listener and idle connections. Requests in
 // progress go on.
 func (d *Daemon) stopAccepting() {
--- /dev/null
+++ b/node/gateway/follow.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"galenadyke.dev/core/gateway"
+	"galenadyke.dev/node/gateway/gatewaypb"
+)
+
+const (
+	// followBeat is the interval of changes without items on a stream, and
+	// followSilence how long a follower waits for the next message.
+	followBeat    = 500 * time.Millisecond
+	followSilence = 1500 * time.Millisecond
+	// fetchTimeout bounds the fetch of what another instance knows, the connect
+	// included.
+	fetchTimeout = time.Second
+)
+
+// Follow implements gatewaypb.GatewayServer.
+func (s *peerServer) Follow(in *gatewaypb.FollowRequest, stream grpc.ServerStreamingServer[gatewaypb.Change]) error {
+	since := in.GetRevision()
+	beat := time.NewTicker(followBeat)
+	defer beat.Stop()
+	for {
+		change, changed := s.store.Changes(since)
+		if err := stream.Send(encodeChange(change)); err != nil {
+			return err
+		}
+		if in.GetOnce() {
+			return nil
+		}
+		since = max(since, change.Revision)
+		select {
+		case <-changed:
+		case <-beat.C:
+		case <-stream.Context().Done():
+			return context.Cause(stream.Context())
+		}
+	}
+}
+
+func encodeChange(change gateway.StoreChange) *gatewaypb.Change {
+	out := &gatewaypb.Change{Revision: change.Revision, Complete: change.Complete, Lost: change.Lost}
+	for _, i := range change.Items {
+		out.Items = append(out.Items, &gatewaypb.Item{Key: i.Key, Value: i.Value, Revision: i.Rev, Deleted: i.Deleted})
+	}
+	return out
+}
+
+func decodeChange(in *gatewaypb.Change) gateway.StoreChange {
+	out := gateway.StoreChange{Revision: in.GetRevision(), Complete: in.GetComplete(), Lost: in.GetLost()}
+	for _, i := range in.GetItems() {
+		out.Items = append(out.Items, gateway.StoreItem{Key: i.GetKey(), Value: i.GetValue(), Rev: i.GetRevision(), Deleted: i.GetDeleted()})
+	}
+	return out
+}
+
+// follow takes over where the store's changes come from.
+func (d *Daemon) follow(out gateway.FollowStore) {
+	if d.stopFollowing != nil {
+		d.stopFollowing()
+		d.stopFollowing = nil
+	}
+	d.store.Watch(out.Watch)
+	if out.From != "" {
+		ctx, cancel := context.WithCancel(d.ctx)
+		d.stopFollowing = cancel
+		go d.runFollower(ctx, out.From)
+	}
+}
+
+// errSourceSilent says that a stream carries nothing.
+var errSourceSilent = errors.New("the instance has fallen silent")
+
+// runFollower imports the changes of another instance until ctx ends.
+func (d *Daemon) runFollower(ctx context.Context, from string) {
+	for ctx.Err() == nil {
+		err := d.followOnce(ctx, from)
+		if ctx.Err() != nil {
+			return
+		}
+		d.clients.drop(from)
+		d.loop.Submit(gateway.SourceFailed{From: from, Cause: err.Error()})
+		select {
+		case <-time.After(followBeat):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (d *Daemon) followOnce(ctx context.Context, from string) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(followSilence, func() { cancel(errSourceSilent) })
+	defer silence.Stop()
+	client, err := d.clients.get(from)
+	if err != nil {
+		return err
+	}
+	stream, err := client.Follow(ctx, &gatewaypb.FollowRequest{Revision: d.store.Revision()})
+	for err == nil {
+		var change *gatewaypb.Change
+		if change, err = stream.Recv(); err == nil {
+			silence.Reset(followSilence)
+			decoded := decodeChange(change)
+			d.store.SourceState(decoded.Lost)
+			d.store.Import(decoded)
+		}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// fetch imports what another instance knows, once.
+func (d *Daemon) fetch(from string) {
+	ctx, cancel := context.WithTimeout(d.ctx, fetchTimeout)
+	defer cancel()
+	client, err := d.clients.get(from)
+	if err == nil {
+		var stream grpc.ServerStreamingClient[gatewaypb.Change]
+		if stream, err = client.Follow(ctx, &gatewaypb.FollowRequest{Revision: d.store.Revision(), Once: true}); err == nil {
+			var change *gatewaypb.Change
+			if change, err = stream.Recv(); err == nil {
+				d.store.Import(decodeChange(change))
+				return
+			}
+		}
+	}
+	d.log.ReadFailed("instance "+from, err)
+}
--- a/node/gateway/front.go
+++ b/node/gateway/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -35,6 +36,8 @@
 type callerRequest struct {
 	id     gateway.RequestID
 	method string
+	host   string
+	path   string
 	caller gateway.CallerHead
 	// head is the request line and the headers that are passed on, each with its
 	// line end, without the empty line.
@@ -106,22 +109,39 @@
 		f.refuseUnread(w, r, err)
 		return
 	}
+	started := f.boot()
+	a, ok := f.await(r.Context(), req, gateway.Arrived{Host: req.host, Path: req.path})
+	if !ok {
+		f.metrics.CallerLeft()
+		// The connection is closed: there is no one to answer.
+		panic(http.ErrAbortHandler)
+	}
+	f.write(w, req, a)
+	f.metrics.Answered(a, f.boot()-started)
+}
+
+// newRequest returns a request with a new id.
+func (f *front) newRequest(method string, caller gateway.CallerHead) *callerRequest {
+	return &callerRequest{id: gateway.RequestID(f.lastID.Add(1)), method: method, caller: caller,
+		answered: make(chan gateway.Answer, 1)}
+}
+
+// await passes a request to the core and waits for its answer. It reports false
+// if ctx ended first.
+func (f *front) await(ctx context.Context, req *callerRequest, arrived gateway.Arrived) (gateway.Answer, bool) {
 	f.mu.Lock()
 	f.requests[req.id] = req
 	f.mu.Unlock()
 	defer f.remove(req.id)
-	started := f.boot()
-	f.submit(gateway.Arrived{Request: req.id, Trace: req.caller.AttemptID, Host: r.Host, Path: pathOf(r),
-		At: started, Remaining: req.caller.Remaining})
+	arrived.Request, arrived.Trace = req.id, req.caller.AttemptID
+	arrived.At, arrived.Remaining = f.boot(), req.caller.Remaining
+	f.submit(arrived)
 	select {
 	case a := <-req.answered:
-		f.write(w, req, a)
-		f.metrics.Answered(a, f.boot()-started)
-	case <-r.Context().Done():
+		return a, true
+	case <-ctx.Done():
 		f.submit(gateway.CallerGone{Request: req.id})
-		f.metrics.CallerLeft()
-		// The connection is closed: there is no one to answer.
-		panic(http.ErrAbortHandler)
+		return gateway.Answer{}, false
 	}
 }
 
@@ -161,10 +181,8 @@
 // readRequest reads the whole request, so that it can be sent to more than one
 // target and is never left half sent by a caller that stops.
 func (f *front) readRequest(w http.ResponseWriter, r *http.Request) (*callerRequest, error) {
-	req := &callerRequest{
-		id: gateway.RequestID(f.lastID.Add(1)), method: r.Method, caller: f.protocol.Caller(r.Header),
-		answered: make(chan gateway.Answer, 1),
-	}
+	req := f.newRequest(r.Method, f.protocol.Caller(r.Header))
+	req.host, req.path = r.Host, pathOf(r)
 	limit := f.maxBody.Load()
 	if r.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
--- /dev/null
+++ b/node/gateway/peers.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"galenadyke.dev/core/gateway"
+	"galenadyke.dev/node/gateway/gatewaypb"
+)
+
+const (
+	// peerBuffer bounds the buffers of a connection between instances, in bytes: one
+	// instance has up to 170 of them at the target size.
+	peerBuffer = 4 << 10
+	// maxPeerMessage bounds a message between instances: a configuration of 1 MB
+	// and entries of 300 bytes for 2,300 targets, several times over.
+	maxPeerMessage = 16 << 20
+	// peerKeepalive and peerKeepaliveTimeout find connections that have fallen
+	// silent while nothing is asked on them.
+	peerKeepalive        = 10 * time.Second
+	peerKeepaliveTimeout = 2 * time.Second
+	// peerReconnect bounds the wait before the next connect.
+	peerReconnect = 500 * time.Millisecond
+	// peerConnect bounds a connect.
+	peerConnect = time.Second
+)
+
+// peerClients holds a connection to each instance that is asked. It may be used
+// from any goroutine.
+type peerClients struct {
+	mu    sync.Mutex // guards conns; held for map operations only
+	conns map[string]*grpc.ClientConn
+}
+
+func newPeerClients() *peerClients { return &peerClients{conns: make(map[string]*grpc.ClientConn)} }
+
+// get returns the client of an address.
+func (p *peerClients) get(address string) (gatewaypb.GatewayClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		return gatewaypb.NewGatewayClient(c), nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithNoProxy(),
+		grpc.WithReadBufferSize(peerBuffer),
+		grpc.WithWriteBufferSize(peerBuffer),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessage)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerKeepalive, Timeout: peerKeepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: peerReconnect},
+			MinConnectTimeout: peerConnect,
+		}))
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = c
+	return gatewaypb.NewGatewayClient(c), nil
+}
+
+// drop closes the connection to an address, which may have fallen silent.
+func (p *peerClients) drop(address string) {
+	p.mu.Lock()
+	c := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if c != nil {
+		c.Close()
+	}
+}
+
+func (p *peerClients) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		c.Close()
+		delete(p.conns, address)
+	}
+}
+
+// newPeerServer returns the server for other instances.
+func newPeerServer(s *peerServer) *grpc.Server {
+	server := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxPeerMessage),
+		grpc.ReadBufferSize(peerBuffer),
+		grpc.WriteBufferSize(peerBuffer),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerKeepalive, Timeout: peerKeepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerKeepalive / 2, PermitWithoutStream: true}),
+	)
+	gatewaypb.RegisterGatewayServer(server, s)
+	return server
+}
+
+// peerServer serves other instances.
+type peerServer struct {
+	gatewaypb.UnimplementedGatewayServer
+	store Store
+	front *front
+}
+
+// Gather implements gatewaypb.GatewayServer.
+func (s *peerServer) Gather(ctx context.Context, in *gatewaypb.GatherRequest) (*gatewaypb.GatherReply, error) {
+	req := s.front.newRequest(in.GetMethod(), gateway.CallerHead{AttemptID: in.GetAttemptId(), Remaining: time.Duration(in.GetCallerLeftNs())})
+	req.head, req.body = in.GetHead(), in.GetBody()
+	arrived := gateway.Arrived{Host: in.GetHost(), Path: in.GetPath(), Delegated: &gateway.Delegation{
+		Objective: time.Duration(in.GetObjectiveLeftNs()), Deadline: time.Duration(in.GetDeadlineLeftNs()),
+		Configuration: in.GetConfiguration(),
+	}}
+	a, ok := s.front.await(ctx, req, arrived)
+	if !ok {
+		return nil, context.Cause(ctx)
+	}
+	out := &gatewaypb.GatherReply{Kind: uint32(a.Kind), Reason: a.Reason}
+	if a.Kind == gateway.AnswerGathered {
+		out.Stamps, out.Missing, out.Records = a.Stamps, uint32(a.Missing), a.Records
+	}
+	return out, nil
+}
+
+// delegate asks another instance to gather.
+func (d *Daemon) delegate(out gateway.Delegate) {
+	req := d.front.request(out.Request)
+	if req == nil {
+		go d.loop.Submit(gateway.AttemptEnded{Attempt: out.Attempt, Outcome: gateway.OutcomeNotSent, Cause: "the caller left"})
+		return
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.addCall(out.Attempt, cancel)
+	go func() {
+		ended := d.gatherAt(ctx, out, req)
+		d.removeCall(out.Attempt)
+		cancel()
+		d.metrics.Delegated(ended.Outcome)
+		d.loop.Submit(ended)
+	}()
+}
+
+// gatherAt carries out one Delegate.
+func (d *Daemon) gatherAt(ctx context.Context, out gateway.Delegate, req *callerRequest) gateway.AttemptEnded {
+	ended := gateway.AttemptEnded{Attempt: out.Attempt, Outcome: gateway.OutcomeNotSent}
+	client, err := d.clients.get(out.To)
+	if err != nil {
+		ended.Cause = err.Error()
+		return ended
+	}
+	now := d.clock.Boot()
+	ctx, cancel := context.WithTimeout(ctx, out.Deadline-now)
+	defer cancel()
+	reply, err := client.Gather(ctx, &gatewaypb.GatherRequest{
+		Method: req.method, Host: req.host, Path: req.path, Head: req.head, Body: req.body, AttemptId: req.caller.AttemptID,
+		CallerLeftNs: int64(out.CallerDeadline - now), ObjectiveLeftNs: int64(out.Objective - now), DeadlineLeftNs: int64(out.Deadline - now),
+		Configuration: out.Configuration,
+	})
+	if err != nil {
+		ended.Cause = err.Error()
+		ended.Outcome = gateway.OutcomeBroken
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			ended.Outcome = gateway.OutcomeTimedOut
+			d.clients.drop(out.To)
+		}
+		return ended
+	}
+	switch kind := gateway.AnswerKind(reply.GetKind()); kind {
+	case gateway.AnswerGathered:
+		ended.Outcome = gateway.OutcomeSuccess
+		ended.Gathered = gateway.Gathered{Stamps: reply.GetStamps(), Missing: int(reply.GetMissing()), Records: reply.GetRecords()}
+	case gateway.AnswerRefused, gateway.AnswerNoRoute:
+		ended.Outcome, ended.Cause = gateway.OutcomeShed, reply.GetReason()
+	default:
+		ended.Outcome, ended.Cause = gateway.OutcomeFailure, fmt.Sprintf("%v: %s", kind, reply.GetReason())
+	}
+	return ended
+}
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -1,13 +1,9 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
 	"net"
-	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
 
 	"galenadyke.dev/core/gateway"
@@ -15,15 +11,8 @@
 	"galenadyke.dev/node/gateway/gatewaypb"
 )
 
-const (
-	// maxDatagram bounds a state message to what one packet carries.
-	maxDatagram = 1400
-	// fetchTimeout bounds the fetch of a snapshot, the connect included.
-	fetchTimeout = time.Second
-	// maxSnapshotBytes bounds a snapshot: a configuration of 1 MB and entries of
-	// 300 bytes for 2,300 targets, several times over.
-	maxSnapshotBytes = 16 << 20
-)
+// maxDatagram bounds a state message to what one packet carries, in bytes.
+const maxDatagram = 1400
 
 // stateLink exchanges state messages as datagrams: they need no connection, so
 // that the memory for peers does not grow with the fleet, and a lost one is made
@@ -84,56 +73,12 @@
 
 func encodeMember(m gateway.MemberState) *gatewaypb.Member {
 	return &gatewaypb.Member{Name: string(m.Name), Address: m.Address, Place: string(m.Place), Life: m.Life,
-		Beat: m.Beat, Configuration: m.Configuration, Revision: m.Revision, Serving: m.Serving}
+		Beat: m.Beat, Configuration: m.Configuration, Revision: m.Revision, Serving: m.Serving,
+		Reads: m.Reads, Capacity: m.Capacity}
 }
 
 func decodeMember(m *gatewaypb.Member) gateway.MemberState {
 	return gateway.MemberState{Name: model.InstanceID(m.GetName()), Address: m.GetAddress(), Place: model.PlaceID(m.GetPlace()),
-		Life: m.GetLife(), Beat: m.GetBeat(), Configuration: m.GetConfiguration(), Revision: m.GetRevision(), Serving: m.GetServing()}
-}
-
-// StoreContent is the part of the store's reader that instances pass on.
-type StoreContent interface {
-	Snapshot() (gateway.StoreSnapshot, bool)
-	Import(gateway.StoreSnapshot)
-}
-
-// snapshotServer serves what this instance knows of the store.
-type snapshotServer struct {
-	gatewaypb.UnimplementedGatewayServer
-	content StoreContent
-}
-
-// Snapshot implements gatewaypb.GatewayServer. Revision 0 says that nothing is
-// known.
-func (s *snapshotServer) Snapshot(context.Context, *gatewaypb.SnapshotRequest) (*gatewaypb.SnapshotReply, error) {
-	out := &gatewaypb.SnapshotReply{}
-	if snapshot, ok := s.content.Snapshot(); ok {
-		out.Revision = snapshot.Revision
-		for _, i := range snapshot.Items {
-			out.Items = append(out.Items, &gatewaypb.Item{Key: i.Key, Value: i.Value, Revision: i.Rev})
-		}
-	}
-	return out, nil
-}
-
-// fetchSnapshot reads what another instance knows of the store.
-func fetchSnapshot(ctx context.Context, address string) (gateway.StoreSnapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	client, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithNoProxy(), grpc.WithDisableServiceConfig(), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxSnapshotBytes)))
-	if err != nil {
-		return gateway.StoreSnapshot{}, err
-	}
-	defer client.Close()
-	in, err := gatewaypb.NewGatewayClient(client).Snapshot(ctx, &gatewaypb.SnapshotRequest{})
-	if err != nil {
-		return gateway.StoreSnapshot{}, err
-	}
-	out := gateway.StoreSnapshot{Revision: in.GetRevision()}
-	for _, i := range in.GetItems() {
-		out.Items = append(out.Items, gateway.StoreItem{Key: i.GetKey(), Value: i.GetValue(), Rev: i.GetRevision()})
-	}
-	return out, nil
+		Life: m.GetLife(), Beat: m.GetBeat(), Configuration: m.GetConfiguration(), Revision: m.GetRevision(), Serving: m.GetServing(),
+		Reads: m.GetReads(), Capacity: m.GetCapacity()}
 }
--- a/node/settings/gateway.go
+++ b/node/settings/gateway.go
@@ -45,6 +45,8 @@
 	ColdSlack     float64 `json:"cold_slack"`
 	// StopTimeout bounds a graceful stop.
 	StopTimeout Duration `json:"stop_timeout"`
+	// Capacity is the processor that the instance may use, in cores.
+	Capacity float64 `json:"capacity"`
 	// MemoryMB is the memory that the process may use; 0: not bounded.
 	MemoryMB int `json:"memory_mb"`
 	// LogLevel is debug, info, warn or error.
@@ -61,6 +63,7 @@
 		ColdOvershoot: 1.5,
 		ColdSlack:     5,
 		StopTimeout:   Duration(6 * time.Second),
+		Capacity:      1,
 		LogLevel:      "info",
 	}
 }
@@ -99,7 +102,7 @@
 		"control_listen": &s.ControlListen, "peer_listen": &s.PeerListen, "seeds": &s.Seeds, "store": &s.Store,
 		"retry_ratio": &s.RetryRatio, "retry_window": &s.RetryWindow, "retry_slack": &s.RetrySlack,
 		"cold_overshoot": &s.ColdOvershoot, "cold_slack": &s.ColdSlack,
-		"stop_timeout": &s.StopTimeout, "memory_mb": &s.MemoryMB, "log_level": &s.LogLevel,
+		"stop_timeout": &s.StopTimeout, "capacity": &s.Capacity, "memory_mb": &s.MemoryMB, "log_level": &s.LogLevel,
 	}
 }
 
@@ -131,6 +134,7 @@
 	c.atLeastZero("retry_slack", s.RetrySlack)
 	c.atLeastZero("cold_overshoot", s.ColdOvershoot)
 	c.atLeastZero("cold_slack", s.ColdSlack)
+	c.atLeastZero("capacity", s.Capacity)
 	c.atLeastZero("memory_mb", float64(s.MemoryMB))
 	c.duration("retry_window", s.RetryWindow, time.Second)
 	c.duration("stop_timeout", s.StopTimeout, time.Second)
--- a/node/telemetry/gateway.go
+++ b/node/telemetry/gateway.go
@@ -15,7 +15,7 @@
 type GatewayMetrics struct {
 	root                                          expvar.Map
 	answers, answerSeconds, attempts, events      *expvar.Map
-	unread                                        *expvar.Map
+	unread, delegated                             *expvar.Map
 	sent, connections, left, logDropped, notReady *expvar.Int
 }
 
@@ -35,6 +35,7 @@
 	}
 	m.answers, m.answerSeconds = group("gateway_answers"), group("gateway_answer_seconds")
 	m.attempts, m.events, m.unread = group("gateway_attempts"), group("gateway_events"), group("gateway_unread")
+	m.delegated = group("gateway_delegated")
 	m.sent, m.connections = count("gateway_attempts_sent"), count("gateway_connections_opened")
 	m.left, m.logDropped, m.notReady = count("gateway_callers_left"), count("log_lines_dropped"), count("gateway_not_ready")
 	return m
@@ -63,6 +64,9 @@
 // AttemptEnded counts the end of a request to a target, by outcome.
 func (m *GatewayMetrics) AttemptEnded(o gateway.Outcome) { m.attempts.Add(o.String(), 1) }
 
+// Delegated counts the end of a request that another instance gathered.
+func (m *GatewayMetrics) Delegated(o gateway.Outcome) { m.delegated.Add(o.String(), 1) }
+
 // CallerLeft counts a caller that closed its connection before the answer.
 func (m *GatewayMetrics) CallerLeft() { m.left.Add(1) }
 
