gateway: hedge at the quantile that the retry budget pays for

Cause: at 90 shards nearly every query meets pauses, and hedges went out 35 to 55 ms after the request although most of the budget was left. Change: the delay is the latency quantile that uses half of the allowance for each request, between 5 and 20 % of the requests.

--- a/core/gateway/budget.go
+++ b/core/gateway/budget.go
@@ -44,10 +44,17 @@
 	b.extras[b.advance(now, limits)]++
 }
 
-// left returns the attempts that may still be made now, and the share of the
-// whole allowance that they are. The extras of one more bucket than the window
+// budgetLeft is what is left of a budget.
+type budgetLeft struct {
+	// attempts may still be made now; share is their share of the allowance.
+	attempts, share float64
+	// perRequest is the whole allowance for each request of the window.
+	perRequest float64
+}
+
+// left returns what is left now. The extras of one more bucket than the window
 // are counted, so that no window of the same length holds more.
-func (b *retryBudget) left(now time.Duration, limits BudgetLimits, instances int) (attempts, share float64) {
+func (b *retryBudget) left(now time.Duration, limits BudgetLimits, instances int) budgetLeft {
 	oldest := int(b.advance(now, limits)+1) % (budgetBuckets + 1)
 	requests, extras := 0.0, 0.0
 	for i := range b.requests {
@@ -58,9 +65,9 @@
 	}
 	allowance := budgetSafety * (limits.Ratio*requests + limits.Slack/float64(instances))
 	if allowance <= 0 {
-		return 0, 0
+		return budgetLeft{}
 	}
-	return allowance - extras, (allowance - extras) / allowance
+	return budgetLeft{attempts: allowance - extras, share: (allowance - extras) / allowance, perRequest: allowance / max(1, requests)}
 }
 
 // rateLimit counts the requests to a cold target in the last second.
--- a/core/gateway/hedge.go
+++ b/core/gateway/hedge.go
@@ -3,9 +3,10 @@
 import "time"
 
 // Hedging answers targets that pause or straggle: a part that is late for its
-// route is sent to a second target while the first goes on. The delay adapts to
-// the route's own latencies and grows as the retry budget runs out, so that
-// under a lasting slowdown hedges go to the parts that wait longest.
+// route is sent to a second target while the first goes on. The delay is the
+// quantile of the route's own latencies that spends a part of the retry budget,
+// and grows as the budget runs out, so that under a lasting slowdown hedges go
+// to the parts that wait longest.
 
 // scheduleHedge sets the time at which a part gets a second attempt.
 func (g *Gateway) scheduleHedge(r *request, i int, t *target) {
@@ -21,10 +22,11 @@
 }
 
 func (g *Gateway) hedgeDelay(r *request, p *part, t *target) time.Duration {
-	usual := g.routeLatency(r.route.Name).quantile(hedgeQuantile, 2*defaultWork)
-	delay := max(minHedgeDelay, time.Duration(hedgeFactor*float64(usual)))
-	_, share := p.service.budget.left(g.now, g.cfg.Budget, g.sharers(p.service))
-	delay += time.Duration(float64(delay) * max(0, 1-share))
+	left := p.service.budget.left(g.now, g.cfg.Budget, g.sharers(p.service))
+	late := min(maxHedged, max(minHedged, hedgeBudgetShare*left.perRequest))
+	usual := g.routeLatency(r.route.Name).quantile(1-late, 2*defaultWork)
+	delay := max(minHedgeDelay, usual)
+	delay += time.Duration(float64(delay) * max(0, 1-left.share))
 	return g.roundTrip(t.Place) + delay
 }
 
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -28,10 +28,13 @@
 	// defaultWork is the assumed time of a request at a target before any was
 	// observed: the mean of the shard services in the brief (3.8 to 28 ms).
 	defaultWork = 12 * time.Millisecond
-	// hedgeQuantile and hedgeFactor give the delay of a hedge: beyond 1.3 times
-	// the 92nd percentile only stalled targets and rare stragglers are left.
-	hedgeQuantile = 0.92
-	hedgeFactor   = 1.3
+	// hedgeBudgetShare is the part of the retry budget that hedges aim to use in
+	// steady state; the rest is for targets that fail or slow down. minHedged and
+	// maxHedged bound the share of the requests that are hedged: at least those
+	// that meet a pause (4 %) or a straggler (1 %), at most what pays for its bytes.
+	hedgeBudgetShare = 0.5
+	minHedged        = 0.05
+	maxHedged        = 0.2
 	// minHedgeDelay keeps hedges above the scheduling delay of a small instance.
 	minHedgeDelay = 8 * time.Millisecond
 	// hedgeReserve is the share of the retry budget that hedges leave to retries
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -300,8 +300,8 @@
 // spend takes one attempt from the retry budget of a service if more than the
 // reserved share is left.
 func (g *Gateway) spend(s *service, reserve float64) bool {
-	attempts, share := s.budget.left(g.now, g.cfg.Budget, g.sharers(s))
-	if attempts < 1 || share < reserve {
+	left := s.budget.left(g.now, g.cfg.Budget, g.sharers(s))
+	if left.attempts < 1 || left.share < reserve {
 		return false
 	}
 	s.budget.spent(g.now, g.cfg.Budget)
