--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -101,11 +101,10 @@
 	// allReadersBelow is the largest fleet in which every instance reads the store
 	// itself. Each call is priced, and waits for others cost time.
 	allReadersBelow = 12
-	// ownWatch and readerWatch are the longest watches of an instance that reads
-	// the store for itself and for others. A silent store shows about a second
-	// after their end; a configuration is to be in force everywhere within 3 s.
-	ownWatch    = 8 * time.Second
-	readerWatch = 1500 * time.Millisecond
+	// storeWatch is the longest watch of the store. A watch may hear nothing of a
+	// change, and only its end shows that history is gone; a configuration is to be
+	// in force everywhere within 3 s.
+	storeWatch = 1500 * time.Millisecond
 	// minReaders and membersPerReader give the number of readers in larger fleets:
 	// two may fail at once, and one serves the others with a message a second
 	// each.
--- a/core/gateway/source.go
+++ b/core/gateway/source.go
@@ -40,21 +40,12 @@
 	}
 	before := g.source.from
 	g.source.chosen, g.source.from = true, from
-	g.emit(FollowStore{From: from, Watch: g.watchTime(from)})
-	g.emit(Event{Name: "StoreSource", Subject: string(g.cfg.Self), Before: before, After: from})
-}
-
-// watchTime returns the longest watch. An instance on which others depend notices
-// a silent store sooner.
-func (g *Gateway) watchTime(from string) time.Duration {
-	switch {
-	case from != "":
-		return 0
-	case g.fleetSize() <= allReadersBelow:
-		return ownWatch
-	default:
-		return readerWatch
+	out := FollowStore{From: from}
+	if from == "" {
+		out.Watch = storeWatch
 	}
+	g.emit(out)
+	g.emit(Event{Name: "StoreSource", Subject: string(g.cfg.Self), Before: before, After: from})
 }
 
 func (g *Gateway) wantedSource() string {
