--- /dev/null
+++ b/core/gateway/budget_test.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a fleet that exceeds the retry budget of a service: whatever the
+// pattern of requests and however eager the instances are, the attempts beyond
+// the first stay within ratio x requests + slack over each window, summed over
+// all instances, without any exchange between them.
+func TestRetryBudgetHoldsOverTheFleet(t *testing.T) {
+	limits := BudgetLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 12).Draw(t, "instances")
+		budgets := make([]retryBudget, instances)
+		type at struct {
+			when  time.Duration
+			extra bool
+		}
+		var seen []at
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now += rapid.SampledFrom([]time.Duration{0, ms, 20 * ms, 300 * ms, 4 * time.Second}).Draw(t, "gap")
+			b := &budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			b.arrived(now, limits)
+			seen = append(seen, at{now, false})
+			for range rapid.IntRange(0, 3).Draw(t, "wanted") {
+				if b.left(now, limits, instances).attempts >= 1 {
+					b.spent(now, limits)
+					seen = append(seen, at{now, true})
+				}
+			}
+		}
+		for i, first := range seen {
+			extras, requests, before := 0.0, 0.0, 0.0
+			for _, e := range seen {
+				in := e.when >= first.when && e.when < first.when+limits.Window
+				half := e.when >= first.when-limits.Window/2 && e.when < first.when+limits.Window/2
+				switch {
+				case e.extra && in:
+					extras++
+				case !e.extra && in:
+					requests++
+				}
+				if !e.extra && half {
+					before++
+				}
+			}
+			if bound := limits.Ratio*max(requests, before) + limits.Slack; extras > bound {
+				t.Fatalf("window from event %d: %v extra attempts, bound %v", i, extras, bound)
+			}
+		}
+	})
+}
+
+// Guards against a cold target that falls over: over all instances it gets no
+// more requests in any second than its rate, the overshoot and the slack allow.
+func TestColdTargetGetsItsRateOnly(t *testing.T) {
+	const instances, rate = 7, 4.0
+	targets := listed("s", 1)
+	targets[0].Cold = 3 * time.Second
+	sent := 0
+	for i := range instances {
+		w := newWorld(t, func(c *Config) { c.Seed = uint64(i + 1) })
+		for j := range instances - 1 {
+			w.hears(member0(j))
+		}
+		w.run(time.Second)
+		w.publish(1, targets, plainRoute(true))
+		w.g.service("s").limits.WarmupRate = rate
+		for range 100 {
+			w.request("/p/x", time.Second)
+			w.run(9 * ms)
+		}
+		sent += len(w.sent)
+	}
+	if bound := rate*1.5 + 5; float64(sent) > bound {
+		t.Errorf("%d requests in a second to a cold target, bound %v", sent, bound)
+	}
+	if sent == 0 {
+		t.Error("a cold target that is the only one gets nothing")
+	}
+}
--- /dev/null
+++ b/core/gateway/gatherers_test.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// far makes an instance without targets of the shards in its data centre.
+func far(c *Config) { c.Place = "apapa" }
+
+// gathered is the success of an instance that gathered.
+func gathered(a AttemptID) AttemptEnded {
+	return AttemptEnded{Attempt: a, Outcome: OutcomeSuccess, Gathered: Gathered{Stamps: []string{"x", "y"}, Missing: 2, Records: record(9)}}
+}
+
+// farWorld returns an instance far from the shards that knows n others near them.
+func farWorld(t *testing.T, n int) *world {
+	w := newWorld(t, far)
+	for j := range n {
+		m := member0(j)
+		m.Configuration = 1
+		w.hears(m)
+	}
+	w.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	return w
+}
+
+// Guards against a message to each shard across data centres: an instance far
+// from them asks one that is near, and passes its answer on.
+func TestQueryIsGatheredNearItsShards(t *testing.T) {
+	w := farWorld(t, 2)
+	id := w.request("/g/x", time.Second)
+	if len(w.delegated) != 1 || len(w.sent) != 0 {
+		t.Fatalf("%d delegated, %d sent; want one delegated", len(w.delegated), len(w.sent))
+	}
+	w.step(gathered(w.delegated[0].Attempt))
+	if a := w.answers[id]; a.Kind != AnswerGathered || a.Missing != 2 || len(a.Stamps) != 2 || len(a.Records) != RecordSize {
+		t.Errorf("got %+v, want the answer of the other instance", a)
+	}
+
+	near := newWorld(t)
+	near.fleet(2)
+	near.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	near.request("/g/x", time.Second)
+	if len(near.delegated) != 0 || len(near.sent) != 8 {
+		t.Error("an instance near the shards does not gather itself")
+	}
+}
+
+// Guards against small instances that gather beside large ones.
+func TestSmallInstanceLeavesGatheringToALargeOne(t *testing.T) {
+	w := newWorld(t, func(c *Config) { c.Capacity = 0.19 })
+	large := member0(0)
+	large.Capacity, large.Configuration = 0.8, 1
+	small := member0(2)
+	small.Capacity, small.Configuration = 0.19, 1
+	w.hears(large)
+	w.hears(small)
+	w.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	for range 5 {
+		w.request("/g/x", time.Second)
+	}
+	for _, d := range w.delegated {
+		if d.To != large.Address {
+			t.Errorf("asked %s, want the large instance", d.To)
+		}
+	}
+	if len(w.delegated) != 5 {
+		t.Errorf("%d delegated, want 5", len(w.delegated))
+	}
+}
+
+// Guards against requests that go down with the instance that was asked: one
+// that refuses has sent nothing, so another is asked, and in the end the
+// instance gathers itself.
+func TestRefusedDelegationIsRepeated(t *testing.T) {
+	w := farWorld(t, 2)
+	w.request("/g/x", time.Second)
+	w.step(AttemptEnded{Attempt: w.delegated[0].Attempt, Outcome: OutcomeShed, Cause: "stops"})
+	if len(w.delegated) != 2 || w.delegated[1].To == w.delegated[0].To {
+		t.Fatalf("%d delegated, want a second one to another instance", len(w.delegated))
+	}
+	w.step(AttemptEnded{Attempt: w.delegated[1].Attempt, Outcome: OutcomeNotSent, Cause: "refused"})
+	if len(w.sent) != 8 {
+		t.Errorf("%d parts sent by the instance itself, want 8", len(w.sent))
+	}
+}
+
+// Guards against more attempts for a shard than the route allows: an instance
+// that failed after it was asked may have made them, so no other is asked.
+func TestBrokenDelegationIsNotRepeated(t *testing.T) {
+	for _, o := range []Outcome{OutcomeBroken, OutcomeTimedOut, OutcomeFailure} {
+		w := farWorld(t, 2)
+		id := w.request("/g/x", time.Second)
+		w.step(AttemptEnded{Attempt: w.delegated[0].Attempt, Outcome: o, Cause: "broken"})
+		w.run(time.Second)
+		if len(w.delegated) != 1 || len(w.sent) != 0 {
+			t.Errorf("%v: %d delegated, %d sent; want no second attempt", o, len(w.delegated), len(w.sent))
+		}
+		if a := w.answers[id]; a.Kind != AnswerFailed {
+			t.Errorf("%v: answered %v, want failed", o, a.Kind)
+		}
+	}
+}
+
+// Guards against callers that wait for an instance that has died silently: it is
+// asked whether it lives, its requests are given up while their callers can ask
+// again, and it gets no new ones.
+func TestSilentGathererIsGivenUp(t *testing.T) {
+	w := farWorld(t, 2)
+	start := w.now
+	id := w.request("/g/x", time.Second)
+	asked := w.delegated[0].To
+	w.run(200 * ms)
+	if a, ok := w.answers[id]; !ok || a.Kind != AnswerFailed {
+		t.Fatalf("answered %v, want failed", a.Kind)
+	}
+	if took := w.answeredAt[id] - start; took > 150*ms {
+		t.Errorf("given up after %v, want about half the objective and two probes", took)
+	}
+	for range 10 {
+		w.request("/g/x", time.Second)
+	}
+	for _, d := range w.delegated[1:] {
+		if d.To == asked {
+			t.Error("the silent instance is asked again")
+		}
+	}
+}
+
+// Guards against giving up an instance that is late but alive.
+func TestLateGathererThatLivesIsWaitedFor(t *testing.T) {
+	w := farWorld(t, 1)
+	id := w.request("/g/x", time.Second)
+	w.run(60 * ms)
+	m := member0(0)
+	m.Beat, m.Configuration = 2, 1
+	w.hears(m)
+	w.run(200 * ms)
+	if a, ok := w.answers[id]; ok {
+		t.Fatalf("answered %v (%s) while the other instance lives", a.Kind, a.Reason)
+	}
+	w.step(gathered(w.delegated[0].Attempt))
+	if a := w.answers[id]; a.Kind != AnswerGathered {
+		t.Errorf("answered %v, want the late answer", a.Kind)
+	}
+}
+
+// Guards against an answer by an older configuration than the caller's instance
+// has: one that is behind is not asked, and refuses if it is.
+func TestInstanceWithAnOlderConfigurationDoesNotGather(t *testing.T) {
+	w := newWorld(t, far)
+	w.hears(member0(0)) // has configuration 0
+	w.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	w.request("/g/x", time.Second)
+	if len(w.delegated) != 0 {
+		t.Error("an instance that is behind is asked")
+	}
+
+	w = newWorld(t)
+	w.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	w.step(Arrived{Request: 50, Host: "h.example", Path: "/g/x", At: w.now, Remaining: time.Second,
+		Delegated: &Delegation{Objective: 90 * ms, Deadline: 900 * ms, Configuration: 2}})
+	if a := w.answers[50]; a.Kind != AnswerRefused || len(w.sent) != 0 {
+		t.Errorf("answered %v after %d sends, want a refusal", a.Kind, len(w.sent))
+	}
+}
+
+// Guards against shares of connections and budget for the whole fleet where few
+// instances gather.
+func TestSharesOfShardsAreThoseOfGatherers(t *testing.T) {
+	w := newWorld(t)
+	for j := range 30 {
+		m := member0(j)
+		if j >= 5 {
+			m.Capacity = 0.1
+		}
+		w.hears(m)
+	}
+	w.publish(1, append(shardTargets(8), listed("s", 2)...), gatherRoute(8, 0.5), plainRoute(true))
+	w.run(2 * gossipInterval)
+	if got := w.g.sharers(w.g.service(shard(0))); got != 6 {
+		t.Errorf("shares for %d instances, want the 6 that gather", got)
+	}
+	if got := w.g.sharers(w.g.service(ServiceID("s"))); got != 31 {
+		t.Errorf("shares for %d instances at a plain service, want all 31", got)
+	}
+}
--- /dev/null
+++ b/core/gateway/targets_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"galenadyke.dev/core/model"
+)
+
+// Guards against losing live targets with the store: entries that lapse while it
+// is out of reach are used until shortly after its return, and no longer.
+func TestEntriesThatLapseWithTheStoreAreUsedUntilItReturns(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, listed("s", 1), plainRoute(true))
+	w.step(StoreFailed{Cause: "refused"})
+	w.run(5 * time.Second)
+	w.step(StoreAnswered{}, StoreRead{Revision: 2, Removed: []model.TargetID{"s-0"}})
+	if id := w.request("/p/x", time.Second); len(w.sentTo(id)) != 1 {
+		t.Error("a target whose entry lapsed during the outage is not used")
+	}
+	w.run(lapseGrace + 100*ms)
+	if id := w.request("/p/x", time.Second); len(w.sentTo(id)) != 0 {
+		t.Error("a target whose entry did not come back is still used")
+	}
+
+	w.step(StoreRead{Revision: 3, Targets: listed("s", 1)}, StoreFailed{Cause: "refused"})
+	w.step(StoreAnswered{}, StoreRead{Revision: 4, Removed: []model.TargetID{"s-0"}})
+	w.run(time.Second)
+	w.step(StoreRead{Revision: 5, Targets: listed("s", 1)})
+	w.run(lapseGrace)
+	if id := w.request("/p/x", time.Second); len(w.sentTo(id)) != 1 {
+		t.Error("a target whose entry came back is not used")
+	}
+}
+
+// Guards against use of a target after a removal in calm times: it counts at
+// once.
+func TestRemovalCountsAtOnceWhileTheStoreAnswers(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, listed("s", 1), plainRoute(true))
+	w.run(time.Second)
+	w.step(StoreRead{Revision: 2, Removed: []model.TargetID{"s-0"}})
+	if id := w.request("/p/x", time.Second); len(w.sentTo(id)) != 0 {
+		t.Error("a removed target is used")
+	}
+}
+
+// Guards against an older read that brings back what has left.
+func TestOlderReadsAreIgnored(t *testing.T) {
+	w := newWorld(t)
+	w.publish(5, listed("s", 2), plainRoute(true))
+	w.step(StoreRead{Revision: 9, Removed: []model.TargetID{"s-0"}})
+	w.step(StoreRead{Revision: 7, Complete: true, Relayed: true, Targets: listed("s", 2)})
+	if w.g.targets["s-0"] != nil {
+		t.Error("an older read brought a removed target back")
+	}
+}
+
+// Guards against knowledge of an earlier incarnation that is used for the next:
+// another birth starts anew.
+func TestAnotherIncarnationStartsAnew(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, listed("s", 1), plainRoute(true))
+	w.targets["s-0"] = endsAfter(ms, OutcomeNotSent)
+	for range 4 {
+		w.request("/p/x", time.Second)
+		w.run(300 * ms)
+	}
+	if !w.saw("TargetDown", "s-0") {
+		t.Fatal("the test needs a target that is down")
+	}
+	again := listed("s", 1)
+	again[0].Born = 77
+	w.targets["s-0"] = answersAfter(10 * ms)
+	w.step(StoreRead{Revision: 2, Targets: again})
+	if id := w.request("/p/x", time.Second); len(w.sentTo(id)) != 1 {
+		t.Error("the next incarnation is still taken for down")
+	}
+}
+
+// Guards against load on a slow target: it is left to others after a few
+// answers, and tried again when it may have recovered.
+func TestSlowTargetIsLeftAndTriedAgain(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, listed("s", 2), plainRoute(true))
+	share := func(requests int) float64 {
+		before, slow := len(w.sent), 0
+		for range requests {
+			id := w.request("/p/x", time.Second)
+			w.run(40 * ms)
+			if w.sentTo(id)[0] == "s-0" {
+				slow++
+			}
+		}
+		_ = before
+		return float64(slow) / float64(requests)
+	}
+	if got := share(50); got < 0.5 {
+		t.Fatalf("the local target gets %v of the requests, want most", got)
+	}
+	w.targets["s-0"] = answersAfter(100 * ms)
+	share(10)
+	if got := share(50); got > 0.15 {
+		t.Errorf("a target ten times as slow gets %v of the requests, want at most 0.15", got)
+	}
+	w.targets["s-0"] = answersAfter(10 * ms)
+	w.run(4 * slowForget)
+	if got := share(50); got < 0.5 {
+		t.Errorf("the recovered target gets %v of the requests, want most again", got)
+	}
+}
+
+// Guards against requests that wait on a dead target one after the other: after
+// a few failures it is tried at growing intervals only, and the requests between
+// are refused at once.
+func TestDeadTargetIsTriedAtIntervals(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, listed("s", 1), plainRoute(true))
+	w.targets["s-0"] = endsAfter(5*ms, OutcomeNotSent)
+	for range 500 {
+		w.request("/p/x", time.Second)
+		w.run(20 * ms)
+	}
+	// Three failures, then after 0.25, 0.5, 1, 2, 2 and 2 s.
+	if got := len(w.sent); got > 3+7 {
+		t.Errorf("a dead target was tried %d times in 10 s", got)
+	}
+	for id, a := range w.answers {
+		if a.Kind != AnswerRefused {
+			t.Errorf("request %d: %v, want a refusal", id, a.Kind)
+		}
+	}
+	w.targets["s-0"] = answersAfter(10 * ms)
+	w.run(downMax)
+	w.request("/p/x", time.Second)
+	w.run(50 * ms)
+	if id := w.request("/p/x", time.Second); len(w.sentTo(id)) != 1 {
+		t.Error("a target that answers again is not used at once")
+	}
+}
+
+// Guards against a reset of connections beyond a target's bound: the requests in
+// flight of one instance stay within its share of the connections.
+func TestConnectionsStayWithinTheShare(t *testing.T) {
+	w := newWorld(t)
+	for j := range 6 {
+		w.hears(member0(j))
+	}
+	w.run(time.Second)
+	w.publish(1, listed("s", 1), plainRoute(true))
+	w.g.service("s").limits.MaxConnections = 26
+	w.targets["s-0"] = answersAfter(300 * ms)
+	for range 30 {
+		w.request("/p/x", time.Second)
+	}
+	if got, bound := len(w.sent), 26/7; got > bound {
+		t.Errorf("%d requests in flight at once, the share of 7 instances is %d", got, bound)
+	}
+}
