gateway: prefer targets of the own data centre, hedge when it is needed

Change: a target of the own data centre is good enough while it is expected to answer within 0.35 of the time to the objective and is not slow; a hedge waits for half of the time in which it would still be answered.

--- a/core/gateway/hedge.go
+++ b/core/gateway/hedge.go
@@ -24,12 +24,22 @@
 func (g *Gateway) hedgeDelay(r *request, p *part, t *target) time.Duration {
 	left := p.service.budget.left(g.now, g.cfg.Budget, g.sharers(p.service))
 	late := min(maxHedged, max(minHedged, hedgeBudgetShare*left.perRequest))
-	usual := g.routeLatency(r.route.Name).quantile(1-late, 2*defaultWork)
+	latency := g.routeLatency(r.route.Name)
+	usual := latency.quantile(1-late, 2*defaultWork)
 	delay := max(minHedgeDelay, usual)
 	delay += time.Duration(float64(delay) * max(0, 1-left.share))
-	return g.roundTrip(t.Place) + delay
+	delay += g.roundTrip(t.Place)
+	if r.objective < r.deadline {
+		takes := remoteRoundTrip + latency.quantile(hedgeAnswered, 2*defaultWork)
+		delay = max(delay, time.Duration(hedgeWait*float64(r.objective-takes-g.now)))
+	}
+	return delay
 }
 
+// hedgeAnswered is the share of the hedges that are answered in the time that
+// is set aside for them.
+const hedgeAnswered = 0.9
+
 // hedge sends the second attempt of a part that is still open.
 func (g *Gateway) hedge(r *request, i int) {
 	p := &r.parts[i]
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -35,6 +35,17 @@
 	hedgeBudgetShare = 0.5
 	minHedged        = 0.05
 	maxHedged        = 0.2
+	// hedgeWait is the part of the time in which a hedge would still be answered
+	// within the objective that passes before it is sent. Most late parts come in
+	// that time, and each hedge crosses data centres.
+	hedgeWait = 0.5
+	// nearShare is the part of the time left until the objective within which a
+	// target of the own data centre is good enough, whatever the others offer. It
+	// leaves time for a hedge.
+	nearShare = 0.35
+	// nearSlowness is the slowness from which a target of the own data centre is
+	// no longer preferred.
+	nearSlowness = 2.5
 	// minHedgeDelay keeps hedges above the scheduling delay of a small instance.
 	minHedgeDelay = 8 * time.Millisecond
 	// hedgeReserve is the share of the retry budget that hedges leave to retries
--- a/core/gateway/placement.go
+++ b/core/gateway/placement.go
@@ -6,15 +6,18 @@
 	"galenadyke.dev/core/model"
 )
 
-// Placement answers an even load with the nearest target, a load that fills
-// the nearest target with the others, and targets that slow down, pause, shed
-// or fall silent by avoiding them before a request waits on them.
+// Placement answers an even load with targets of the own data centre, as bytes
+// between data centres are dear, a load that fills them with the others, and
+// targets that slow down, pause, shed or fall silent by avoiding them before a
+// request waits on them.
 
 // place returns the target on which a part is expected to be answered first,
-// or nil. usable reports whether some target would do once a connection is
-// free.
+// or nil. One in the own data centre is preferred if it is expected to answer
+// well within the objective. usable reports whether some target would do once a
+// connection is free.
 func (g *Gateway) place(r *request, p *part) (best *target, usable bool) {
 	work := g.typicalWork(r.route)
+	enough := time.Duration(nearShare * float64(r.objective-g.now))
 	var bestTime time.Duration
 	for _, t := range p.service.targets {
 		if !g.open(t) || p.triedTarget(t) {
@@ -28,6 +31,9 @@
 			continue
 		}
 		estimate := g.estimate(t, work)
+		if t.Place == g.cfg.Place && estimate <= enough && t.slownessNow(g.now) < nearSlowness {
+			estimate = 0
+		}
 		// Equal targets share the load at random.
 		estimate += time.Duration(g.rng.Float64() * 0.25 * float64(work))
 		if best == nil || estimate < bestTime {
