gateway: reserve the caller's connect out of the latency objective

Cause: partial answers left at the objective less 14 ms, and callers that had opened a connection (6 ms) got them late.

--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -10,9 +10,9 @@
 	// answerReserveShare bounds answerReserve for short deadlines.
 	answerReserveShare = 0.2
 	// objectiveReserve is the part of a route's latency objective that passes
-	// outside the instance: both ways to the caller (3 ms each), and the delay of
-	// timers and writes on a fraction of a core.
-	objectiveReserve = 14 * time.Millisecond
+	// outside the instance: the caller's connect and its request, both ways (3 ms
+	// each), and the delay of timers and writes on a fraction of a core.
+	objectiveReserve = 20 * time.Millisecond
 	// minSendTime is the least time left in which an attempt can succeed: two
 	// ways between data centres (4.5 ms each).
 	minSendTime = 10 * time.Millisecond
