gateway: one late answer does not make a target slow

A pause of 120 ms every 3 s met by one request raised the target's slowness above 2.5 for two seconds. Change: a sample counts no more than the one before it.

--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -34,6 +34,8 @@
 	// slowness is the moving ratio of observed to typical time, without network.
 	slowness   float64
 	slownessAt time.Duration
+	// lastRatio is the latest sample of slowness.
+	lastRatio float64
 	// failures is the moving share of attempts that failed.
 	failures   float64
 	failuresAt time.Duration
@@ -297,6 +299,8 @@
 	h.add(took)
 	t := a.target
 	ratio := min(maxSlowness, float64(took)/float64(typical))
+	// One late answer is a pause or a straggler; a slow target is late again.
+	ratio, t.lastRatio = min(ratio, max(1, t.lastRatio)), ratio
 	t.slowness = t.slownessNow(g.now)*(1-slowSmoothing) + ratio*slowSmoothing
 	t.slownessAt = g.now
 }
