gateway: one relay of the store's changes in each data centre

Change: the instances of a data centre follow a reader or one relay there. The age of the store's last answer travels along, so that instances that follow each other in a circle notice.

--- a/core/gateway/exchange.go
+++ b/core/gateway/exchange.go
@@ -54,4 +54,6 @@
 	Complete bool
 	// Lost says that the store does not answer the sender.
 	Lost bool
+	// Age is the time since the store answered, by way of all instances between.
+	Age time.Duration
 }
--- a/core/gateway/members_test.go
+++ b/core/gateway/members_test.go
@@ -126,6 +126,34 @@
 	}
 }
 
+// Guards against changes that cross data centres once for each instance: in a
+// data centre without a reader one relay follows a reader, the others follow it.
+func TestOneRelayForEachDataCentre(t *testing.T) {
+	const instances = 40
+	crossing := map[model.PlaceID]int{}
+	for i := range instances {
+		self := member0(i)
+		w := newWorld(t, func(c *Config) { c.Self, c.Address, c.Place, c.Seed = self.Name, self.Address, self.Place, uint64(i) })
+		place := map[string]model.PlaceID{}
+		for j := range instances {
+			m := member0(j)
+			place[m.Address] = m.Place
+			if j != i {
+				w.hears(m)
+			}
+		}
+		w.run(sourceStartDelay + 2*gossipInterval)
+		if from := w.sources[len(w.sources)-1].From; from != "" && place[from] != self.Place {
+			crossing[self.Place]++
+		}
+	}
+	for p, n := range crossing {
+		if n > 1 {
+			t.Errorf("%d instances of %s follow one in another data centre, want at most 1", n, p)
+		}
+	}
+}
+
 // Guards against an instance that hangs on a reader that fails, or that the store
 // turns away.
 func TestReaderThatFailsIsReplaced(t *testing.T) {
--- a/core/gateway/source.go
+++ b/core/gateway/source.go
@@ -13,7 +13,8 @@
 // and pass its changes on to the others. The readers are the first in a ranking
 // that all instances compute from the members they know; an instance whose
 // reader fails takes the next one, and reads the store itself when it ranks
-// among the readers or knows none.
+// among the readers or knows none. Between a reader and the instances of another
+// data centre stands one relay there, so that a change crosses once.
 
 // source is where the store's changes come from.
 type source struct {
@@ -63,16 +64,31 @@
 		slices.ContainsFunc(able[:min(readers, len(able))], isSelf) || len(able) == 0 {
 		return ""
 	}
-	return g.nearestReader(able[:min(readers, len(able))])
+	return g.followedInstance(able, able[:min(readers, len(able))])
 }
 
+// followedInstance returns the instance to follow: a reader or the relay of the
+// own data centre, or a reader anywhere if this instance is the relay.
+func (g *Gateway) followedInstance(able, readers []MemberState) string {
+	isNear := func(s MemberState) bool { return s.Place == g.cfg.Place && !g.hasFailed(s.Name) }
+	if i := slices.IndexFunc(readers, isNear); i >= 0 {
+		return readers[i].Address
+	}
+	if i := slices.IndexFunc(able, isNear); i >= 0 && able[i].Name != g.cfg.Self {
+		return able[i].Address
+	}
+	return g.nearestReader(readers)
+}
+
+func (g *Gateway) hasFailed(name model.InstanceID) bool { return g.now < g.source.failed[name] }
+
 // nearestReader spreads the instances over the readers that have not failed
 // lately.
 func (g *Gateway) nearestReader(readers []MemberState) string {
 	own := rank.Hash(string(g.cfg.Self))
 	best, bestScore := "", uint64(0)
 	for _, r := range readers {
-		if until := g.source.failed[r.Name]; g.now < until {
+		if g.hasFailed(r.Name) {
 			continue
 		}
 		if score := rank.Score(rank.Hash(string(r.Name)), own); best == "" || score > bestScore {
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -56,9 +56,9 @@
 	// closed at the next change.
 	Changes(since uint64) (gateway.StoreChange, <-chan struct{})
 	// Import takes over the changes of another instance, SourceState whether the
-	// store answers that one.
+	// store answers that one, and how long ago it did.
 	Import(gateway.StoreChange)
-	SourceState(lost bool)
+	SourceState(lost bool, age time.Duration)
 }
 
 // Platform is the adapter of the platform.
--- a/node/gateway/follow.go
+++ b/node/gateway/follow.go
@@ -16,6 +16,10 @@
 	// followSilence how long a follower waits for the next message.
 	followBeat    = 500 * time.Millisecond
 	followSilence = 1500 * time.Millisecond
+	// followStale is the age of the store's last answer at which a source is given
+	// up. The store answers a reader at least every 1.5 s; instances that follow
+	// each other in a circle grow older without end.
+	followStale = 4 * time.Second
 	// fetchTimeout bounds the fetch of what another instance knows, the connect
 	// included.
 	fetchTimeout = time.Second
@@ -45,7 +49,7 @@
 }
 
 func encodeChange(change gateway.StoreChange) *gatewaypb.Change {
-	out := &gatewaypb.Change{Revision: change.Revision, Complete: change.Complete, Lost: change.Lost}
+	out := &gatewaypb.Change{Revision: change.Revision, Complete: change.Complete, Lost: change.Lost, AgeNs: int64(change.Age)}
 	for _, i := range change.Items {
 		out.Items = append(out.Items, &gatewaypb.Item{Key: i.Key, Value: i.Value, Revision: i.Rev, Deleted: i.Deleted})
 	}
@@ -53,7 +57,7 @@
 }
 
 func decodeChange(in *gatewaypb.Change) gateway.StoreChange {
-	out := gateway.StoreChange{Revision: in.GetRevision(), Complete: in.GetComplete(), Lost: in.GetLost()}
+	out := gateway.StoreChange{Revision: in.GetRevision(), Complete: in.GetComplete(), Lost: in.GetLost(), Age: time.Duration(in.GetAgeNs())}
 	for _, i := range in.GetItems() {
 		out.Items = append(out.Items, gateway.StoreItem{Key: i.GetKey(), Value: i.GetValue(), Rev: i.GetRevision(), Deleted: i.GetDeleted()})
 	}
@@ -77,6 +81,9 @@
 // errSourceSilent says that a stream carries nothing.
 var errSourceSilent = errors.New("the instance has fallen silent")
 
+// errSourceStale says that what a stream carries is old.
+var errSourceStale = errors.New("the instance has not heard of the store for long")
+
 // runFollower imports the changes of another instance until ctx ends.
 func (d *Daemon) runFollower(ctx context.Context, from string) {
 	for ctx.Err() == nil {
@@ -108,7 +115,10 @@
 		if change, err = stream.Recv(); err == nil {
 			silence.Reset(followSilence)
 			decoded := decodeChange(change)
-			d.store.SourceState(decoded.Lost)
+			if !decoded.Lost && decoded.Age > followStale {
+				return errSourceStale
+			}
+			d.store.SourceState(decoded.Lost, decoded.Age)
 			d.store.Import(decoded)
 		}
 	}
