telemetry, explain: one line for each request with its decisions

Cause: the log had changes of belief only; a failed request could not be traced to its cause. Change: the core keeps up to 24 steps of a request with the inputs that decided them; the daemon writes one line at its end, each outcome with its own bound. galenadyke explain prints a request's story across instances.

--- a/core/gateway/gatherers.go
+++ b/core/gateway/gatherers.go
@@ -74,6 +74,7 @@
 	r.alive++
 	r.sent++
 	r.asked = append(r.asked, m.Name)
+	g.note(r, "delegated", string(m.Name), "in %s with %d under way there, heard of %d ms ago", m.Place, m.delegated-1, (g.now-m.heardAt)/time.Millisecond)
 	way := g.roundTrip(m.Place) / 2
 	g.emit(Delegate{Attempt: a.id, Request: r.id, To: m.Address, Objective: r.objective - way, Deadline: r.deadline - way,
 		CallerDeadline: r.callerDeadline, Configuration: g.config.Version})
@@ -119,6 +120,9 @@
 	r.alive--
 	ran := in.Outcome.ran()
 	r.mayHaveRun = r.mayHaveRun || ran
+	if in.Outcome != OutcomeSuccess && !r.ended {
+		g.note(r, in.Outcome.String(), string(m.Name), "%s, %d ms after it was asked", in.Cause, (g.now-a.sentAt)/time.Millisecond)
+	}
 	switch {
 	case r.ended:
 	case in.Outcome == OutcomeSuccess:
@@ -195,6 +199,7 @@
 	for _, id := range sortedKeys(g.attempts) {
 		if a := g.attempts[id]; a != nil && a.gatherer == m && !a.request.ended {
 			a.request.mayHaveRun = true
+			g.note(a.request, "silent", string(m.Name), "no message for %d ms, asked twice", (g.now-m.directAt)/time.Millisecond)
 			g.fail(a.request, "the gathering instance "+string(m.Name)+" is silent")
 			g.emit(CancelAttempt{Attempt: id})
 		}
--- a/core/gateway/hedge.go
+++ b/core/gateway/hedge.go
@@ -47,7 +47,13 @@
 		return
 	}
 	t, _ := g.place(r, p)
-	if t == nil || !g.spend(p.service, hedgeReserve) {
+	switch {
+	case t == nil:
+		g.note(r, "not hedged", string(p.service.id), "no other target is up and free")
+		return
+	case !g.spend(p.service, hedgeReserve):
+		left := p.service.budget.left(g.now, g.cfg.Budget, g.sharers(p.service))
+		g.note(r, "not hedged", string(p.service.id), "%.1f attempts of the retry budget are left", left.attempts)
 		return
 	}
 	g.send(r, i, t)
--- a/core/gateway/output.go
+++ b/core/gateway/output.go
@@ -99,6 +99,13 @@
 	// Route and Attempts describe the request for metrics and logs.
 	Route    string
 	Attempts int
+	// Took is the time since the arrival, Configuration the version in force.
+	Took          time.Duration
+	Configuration uint64
+	// Steps are the decisions about the request; StepsDropped counts those that
+	// are left out.
+	Steps        []Step
+	StepsDropped int
 	// Closing asks the caller to open another connection for its next request.
 	Closing bool
 }
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -20,6 +20,7 @@
 // its objective is refused while the caller can still go elsewhere in time.
 func (g *Gateway) wait(r *request, i int) {
 	s := r.parts[i].service
+	g.note(r, "queued", string(s.id), "behind %d, all connections of this instance are in use", len(s.waiting))
 	s.waiting = append(s.waiting, waitingPart{r, i})
 	slices.SortStableFunc(s.waiting, func(a, b waitingPart) int {
 		if a.request.route.Priority != b.request.route.Priority {
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -32,6 +32,9 @@
 	// alive counts attempts that have not ended, also after the answer.
 	alive int
 	ended bool
+	// steps are the decisions so far, stepsDropped counts those over the bound.
+	steps        []Step
+	stepsDropped int
 	// asked are the instances that were asked to gather.
 	asked []model.InstanceID
 }
@@ -193,6 +196,7 @@
 	p.inFlight++
 	r.alive++
 	r.sent++
+	g.noteSend(r, p, t)
 	g.emit(SendAttempt{Attempt: a.id, Request: r.id, Target: t.ID, Address: t.Address,
 		Deadline: r.deadline, CallerDeadline: r.callerDeadline, Gather: len(r.route.Shards) > 0})
 	if r.route.Idempotent {
@@ -240,6 +244,7 @@
 	} else {
 		r.cause = in.Outcome.String()
 	}
+	g.note(r, in.Outcome.String(), string(a.target.ID), "%s, %d ms after it was sent", r.cause, (g.now-a.sentAt)/time.Millisecond)
 	if in.Outcome == OutcomeFailure {
 		r.failure = a.id
 	}
@@ -312,6 +317,7 @@
 func (g *Gateway) failPart(r *request, i int, reason string) {
 	r.parts[i].state = partFailed
 	r.open--
+	g.note(r, "given up", string(r.parts[i].service.id), "%s", reason)
 	if len(r.route.Shards) == 0 {
 		g.fail(r, reason)
 		return
@@ -375,6 +381,8 @@
 	r.ended = true
 	out.Request, out.Route, out.Attempts = r.id, r.route.Name, r.sent
 	out.Closing = g.stop.begun
+	out.Configuration, out.Steps, out.StepsDropped = g.config.Version, r.steps, r.stepsDropped
+	out.Took = g.now - r.arrived
 	g.emit(out)
 	for i := range r.parts {
 		r.parts[i].answer = Part{}
--- /dev/null
+++ b/core/gateway/steps.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+)
+
+// Step is one decision about a request, kept for the line that is logged at its
+// end.
+type Step struct {
+	After  time.Duration // since the arrival
+	Action string        // what was decided or what happened
+	// Subject is the target, service or instance that it is about.
+	Subject string
+	// Detail has the inputs that decided, with their age.
+	Detail string
+}
+
+// maxSteps bounds the steps that are kept of one request. What comes later is
+// counted.
+const maxSteps = 24
+
+// note keeps a step of a request.
+func (g *Gateway) note(r *request, action, subject, format string, args ...any) {
+	if len(r.steps) >= maxSteps {
+		r.stepsDropped++
+		return
+	}
+	r.steps = append(r.steps, Step{After: g.now - r.arrived, Action: action, Subject: subject, Detail: fmt.Sprintf(format, args...)})
+}
+
+// noteSend keeps why a target was chosen. The first attempts of a gathering
+// route are left out: they are one for each shard, and the estimates of those
+// that matter show in what follows.
+func (g *Gateway) noteSend(r *request, p *part, t *target) {
+	action := "sent"
+	switch {
+	case len(p.tried) > 1 && p.inFlight > 1:
+		action = "hedged"
+	case len(p.tried) > 1:
+		action = "retried"
+	case len(r.route.Shards) > 0:
+		return
+	}
+	load := "load unknown"
+	if t.loadAt > 0 {
+		load = fmt.Sprintf("load %d+%d of %d, %d ms old", t.load.Running, t.load.Waiting, t.load.Slots, (g.now-t.loadAt)/time.Millisecond)
+	}
+	g.note(r, action, string(t.ID), "in %s; slowness %.1f, failures %.2f, %d in flight, %s", t.Place, t.slownessNow(g.now),
+		t.failuresNow(g.now), len(t.inFlight), load)
+}
--- a/ctl/cmd/galenadyke/main.go
+++ b/ctl/cmd/galenadyke/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 
 	"galenadyke.dev/ctl/command"
+	"galenadyke.dev/ctl/explain"
 	"galenadyke.dev/ctl/load"
 	"galenadyke.dev/ctl/replay"
 )
@@ -19,6 +20,6 @@
 	env := command.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
 	commands := command.All(env)
 	// Commands of other packages are appended here.
-	commands = append(commands, load.NewCommand(), replay.NewCommand(env))
+	commands = append(commands, load.NewCommand(), replay.NewCommand(env), explain.NewCommand(env))
 	return command.Run(ctx, env, os.Args[1:], commands...)
 }
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -121,6 +121,7 @@
 	if d.log, err = telemetry.NewLog(w, s.LogLevel, d.metrics); err != nil {
 		return nil, err
 	}
+	d.log.Named(s.Instance)
 	core := gateway.New(gateway.Config{
 		Self: model.InstanceID(s.Instance), Address: s.PeerListen, Place: model.PlaceID(s.Place), Capacity: s.Capacity,
 		Life: binary.LittleEndian.Uint64(random[:8]), Seed: binary.LittleEndian.Uint64(random[8:]), Seeds: seeds,
@@ -231,7 +232,7 @@
 		d.cancelCall(out.Attempt)
 	case gateway.Answer:
 		if req := d.front.request(out.Request); req != nil {
-			d.log.GatewayAnswer(req.caller.AttemptID, out)
+			d.log.GatewayAnswer(req.caller.AttemptID, req.delegated, out)
 			req.answered <- out
 		}
 	case gateway.OpenConnection:
--- a/node/gateway/front.go
+++ b/node/gateway/front.go
@@ -41,9 +41,11 @@
 	caller gateway.CallerHead
 	// head is the request line and the headers that are passed on, each with its
 	// line end, without the empty line.
-	head     []byte
-	body     []byte
-	answered chan gateway.Answer
+	head []byte
+	body []byte
+	// delegated says that another instance gets the answer for its caller.
+	delegated bool
+	answered  chan gateway.Answer
 
 	mu      sync.Mutex // guards replies
 	replies map[gateway.AttemptID]*reply
--- a/node/telemetry/gateway.go
+++ b/node/telemetry/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"expvar"
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
@@ -99,11 +100,51 @@
 	l.line(level, e.Name, log.Fields{"subject": e.Subject, "before": e.Before, "after": e.After})
 }
 
-// GatewayAnswer writes an answer that is not a target's own or a whole one.
-func (l *Log) GatewayAnswer(trace string, a gateway.Answer) {
-	if a.Reason == "" && a.Missing == 0 {
-		return
+// GatewayAnswer writes the end of a request with the decisions that led to it.
+// Lines have names by outcome, and each name has its own bound, so that
+// successes never displace failures. delegated says that another instance gets
+// the answer for its caller.
+func (l *Log) GatewayAnswer(trace string, delegated bool, a gateway.Answer) {
+	fields := log.Fields{"request": trace, "route": a.Route, "outcome": a.Kind.String(), "took_ms": milliseconds(a.Took),
+		"attempts": a.Attempts, "missing": a.Missing, "configuration": a.Configuration}
+	if a.Reason != "" {
+		fields["reason"] = a.Reason
 	}
-	l.line(log.InfoLevel, "Answer_"+a.Kind.String(), log.Fields{"request": trace, "route": a.Route, "reason": a.Reason,
-		"attempts": a.Attempts, "missing": a.Missing})
+	if delegated {
+		fields["delegated"] = true
+	}
+	if a.Kind == gateway.AnswerRefused {
+		fields["retry_after_ms"] = milliseconds(a.RetryAfter)
+	}
+	if len(a.Steps) > 0 {
+		steps := make([]string, len(a.Steps))
+		for i, s := range a.Steps {
+			steps[i] = fmt.Sprintf("%.1f ms: %s %s: %s", milliseconds(s.After), s.Action, s.Subject, s.Detail)
+		}
+		fields["steps"] = steps
+	}
+	if a.StepsDropped > 0 {
+		fields["steps_left_out"] = a.StepsDropped
+	}
+	l.line(log.InfoLevel, requestLine(a), fields)
 }
+
+// requestLine returns the name of the line at the end of a request.
+func requestLine(a gateway.Answer) string {
+	switch {
+	case a.Kind == gateway.AnswerGathered && a.Missing > 0:
+		return "RequestPartial"
+	case a.Kind == gateway.AnswerGathered, a.Kind == gateway.AnswerTarget && a.Reason == "":
+		return "RequestServed"
+	case a.Kind == gateway.AnswerRefused:
+		return "RequestRefused"
+	case a.Kind == gateway.AnswerNoRoute:
+		return "RequestNoRoute"
+	case a.Kind == gateway.AnswerLate:
+		return "RequestLate"
+	default:
+		return "RequestFailed"
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/node/telemetry/log.go
+++ b/node/telemetry/log.go
@@ -31,8 +31,13 @@
 	mu      sync.Mutex // guards byName
 	byName  map[string]*quota
 	dropped DropCounter
+	// instance is named in each line if it is set.
+	instance string
 }
 
+// Named lets each line name the instance. It is called before the first line.
+func (l *Log) Named(instance string) { l.instance = instance }
+
 // DropCounter counts lines that were not written.
 type DropCounter interface{ LogDropped() }
 
@@ -104,6 +109,9 @@
 	if level < l.logger.Level {
 		return
 	}
+	if l.instance != "" {
+		fields["instance"] = l.instance
+	}
 	q := l.quota(name)
 	if !q.limiter.Allow() {
 		q.suppressed.Add(1)
