node: reload settings on SIGHUP and when the file changes

Change: seeds, budget, warm-up bounds and the time of the stop count at once; what needs a restart is named in the log; faulty settings are refused and the old ones stay in force.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -8,19 +8,10 @@
 	"galenadyke.dev/core/model"
 )
 
-// Config configures a Gateway.
-type Config struct {
-	Self model.InstanceID
-	// Address is where other instances send state messages.
-	Address string
-	Place   model.PlaceID
-	// Capacity is the processor of this instance in cores.
-	Capacity float64
-	// Life tells the lives of an instance apart; it is drawn at the start.
-	Life uint64
+// Limits are the settings that may change while the instance runs.
+type Limits struct {
 	// Seeds are addresses of state messages of instances that may exist.
 	Seeds []string
-	Seed  uint64
 	// Budget bounds attempts beyond the first.
 	Budget BudgetLimits
 	// ColdOvershoot and ColdSlack bound the requests a second to a cold target,
@@ -31,6 +22,20 @@
 	StopTime time.Duration
 }
 
+// Config configures a Gateway.
+type Config struct {
+	Self model.InstanceID
+	// Address is where other instances send state messages.
+	Address string
+	Place   model.PlaceID
+	// Capacity is the processor of this instance in cores.
+	Capacity float64
+	// Life tells the lives of an instance apart; it is drawn at the start.
+	Life uint64
+	Seed uint64
+	Limits
+}
+
 // Gateway is the decision core. It is used from one goroutine.
 type Gateway struct {
 	cfg Config
@@ -142,6 +147,8 @@
 		g.sourceFailed(in)
 	case StateReceived:
 		g.stateReceived(in)
+	case LimitsChanged:
+		g.cfg.Limits = in.Limits
 	case Stop:
 		g.beginStop()
 	}
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -161,6 +161,9 @@
 	State StateMessage
 }
 
+// LimitsChanged carries settings that were read again.
+type LimitsChanged struct{ Limits Limits }
+
 // Stop starts the graceful stop.
 type Stop struct{}
 
@@ -173,4 +176,5 @@
 func (StoreFailed) isInput()       {}
 func (SourceFailed) isInput()      {}
 func (StateReceived) isInput()     {}
+func (LimitsChanged) isInput()     {}
 func (Stop) isInput()              {}
--- a/core/gateway/lifecycle_test.go
+++ b/core/gateway/lifecycle_test.go
@@ -62,11 +62,26 @@
 	}
 }
 
+// Guards against settings that count from the next start only.
+func TestChangedLimitsCountAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, listed("s", 4), plainRoute(true))
+	for _, target := range listed("s", 4) {
+		w.targets[target.ID] = endsAfter(ms, OutcomeBroken)
+	}
+	w.step(LimitsChanged{Limits{Budget: BudgetLimits{Window: 10 * time.Second}, StopTime: time.Second}})
+	id := w.request("/p/x", time.Second)
+	w.run(time.Second)
+	if got := len(w.sentTo(id)); got != 1 {
+		t.Errorf("%d attempts with a budget of nothing, want 1", got)
+	}
+}
+
 // Guards against hidden inputs: the same inputs and times give the same outputs.
 func TestSameInputsGiveSameOutputs(t *testing.T) {
 	play := func() []Output {
-		g := New(Config{Self: "self", Address: "a", Place: "ikeja", Capacity: 1, Life: 1, Seed: 3, StopTime: time.Second,
-			Seeds: []string{"b", "c"}, Budget: BudgetLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
+		g := New(Config{Self: "self", Address: "a", Place: "ikeja", Capacity: 1, Life: 1, Seed: 3,
+			Limits: Limits{StopTime: time.Second, Seeds: []string{"b", "c"}, Budget: BudgetLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}}})
 		var all []Output
 		now := time.Second
 		g.Step(ConfigurationRead{&Configuration{Version: 1, Routes: []Route{gatherRoute(12, 0.5), plainRoute(true)}}})
--- a/core/gateway/world_test.go
+++ b/core/gateway/world_test.go
@@ -46,8 +46,8 @@
 
 func newWorld(t *testing.T, change ...func(*Config)) *world {
 	cfg := Config{Self: "self", Address: "10.0.0.1:7000", Place: "ikeja", Capacity: 0.4, Life: 1, Seed: 1,
-		Budget:        BudgetLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
-		ColdOvershoot: 1.5, ColdSlack: 5, StopTime: 6 * time.Second}
+		Limits: Limits{Budget: BudgetLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+			ColdOvershoot: 1.5, ColdSlack: 5, StopTime: 6 * time.Second}}
 	for _, c := range change {
 		c(&cfg)
 	}
--- a/node/cmd/galenadyked/commands.go
+++ b/node/cmd/galenadyked/commands.go
@@ -15,10 +15,18 @@
 // load reads settings and prints all findings.
 func load(path string) (settings.Settings, bool) {
 	s, findings := settings.Load(path)
+	return s, report(findings) == subcommands.ExitSuccess
+}
+
+// report prints all findings.
+func report(findings []settings.Finding) subcommands.ExitStatus {
 	for _, f := range findings {
 		fmt.Fprintln(os.Stderr, f)
 	}
-	return s, len(findings) == 0
+	if len(findings) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
 }
 
 // runCommand implements "run".
@@ -49,35 +57,47 @@
 }
 
 // settingsCommand implements "settings".
-type settingsCommand struct{}
+type settingsCommand struct{ gateway bool }
 
-func (*settingsCommand) Name() string           { return "settings" }
-func (*settingsCommand) Synopsis() string       { return "print the default settings" }
-func (*settingsCommand) Usage() string          { return "settings\n" }
-func (*settingsCommand) SetFlags(*flag.FlagSet) {}
+func (*settingsCommand) Name() string     { return "settings" }
+func (*settingsCommand) Synopsis() string { return "print the default settings" }
+func (*settingsCommand) Usage() string    { return "settings [--gateway]\n" }
+func (c *settingsCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.gateway, "gateway", false, "those of galenadyked gateway")
+}
 
-func (*settingsCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := os.Stdout.Write(settings.Defaults().JSON()); err != nil {
+func (c *settingsCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	out := settings.Defaults().JSON()
+	if c.gateway {
+		out = settings.GatewayDefaults().JSON()
+	}
+	if _, err := os.Stdout.Write(out); err != nil {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
 // checkCommand implements "check-settings".
-type checkCommand struct{}
+type checkCommand struct{ gateway bool }
 
-func (*checkCommand) Name() string           { return "check-settings" }
-func (*checkCommand) Synopsis() string       { return "check a settings file" }
-func (*checkCommand) Usage() string          { return "check-settings FILE\n  Prints every finding.\n" }
-func (*checkCommand) SetFlags(*flag.FlagSet) {}
+func (*checkCommand) Name() string     { return "check-settings" }
+func (*checkCommand) Synopsis() string { return "check a settings file" }
+func (*checkCommand) Usage() string {
+	return "check-settings [--gateway] FILE\n  Prints every finding.\n"
+}
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.gateway, "gateway", false, "a file of galenadyked gateway")
+}
 
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 {
 		fmt.Fprint(os.Stderr, c.Usage())
 		return subcommands.ExitUsageError
 	}
-	if _, ok := load(f.Arg(0)); !ok {
-		return subcommands.ExitFailure
+	if c.gateway {
+		_, findings := settings.LoadGateway(f.Arg(0))
+		return report(findings)
 	}
-	return subcommands.ExitSuccess
+	_, findings := settings.Load(f.Arg(0))
+	return report(findings)
 }
--- a/node/cmd/galenadyked/gateway.go
+++ b/node/cmd/galenadyked/gateway.go
@@ -10,7 +10,6 @@
 
 	core "galenadyke.dev/core/gateway"
 	"galenadyke.dev/node/gateway"
-	"galenadyke.dev/node/settings"
 	"galenadyke.dev/platform"
 )
 
@@ -31,14 +30,7 @@
 		fmt.Fprint(os.Stderr, c.Usage())
 		return subcommands.ExitUsageError
 	}
-	s, findings := settings.LoadGateway(c.path)
-	for _, finding := range findings {
-		fmt.Fprintln(os.Stderr, finding)
-	}
-	if len(findings) > 0 {
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitStatus(gateway.Run(s, thisPlatform(), os.Stdout))
+	return subcommands.ExitStatus(gateway.Run(c.path, thisPlatform(), os.Stdout))
 }
 
 // thisPlatform binds the adapter.
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -106,7 +106,7 @@
 // New opens the listeners and composes the parts. Log lines go to w.
 func New(s settings.Gateway, p Platform, w io.Writer) (*Daemon, error) {
 	quietLibraries()
-	seeds, err := s.PeerSeeds()
+	limits, err := coreLimits(s)
 	if err != nil {
 		return nil, err
 	}
@@ -124,14 +124,34 @@
 	d.log.Named(s.Instance)
 	core := gateway.New(gateway.Config{
 		Self: model.InstanceID(s.Instance), Address: s.PeerListen, Place: model.PlaceID(s.Place), Capacity: s.Capacity,
-		Life: binary.LittleEndian.Uint64(random[:8]), Seed: binary.LittleEndian.Uint64(random[8:]), Seeds: seeds,
-		Budget:        gateway.BudgetLimits{Ratio: s.RetryRatio, Window: time.Duration(s.RetryWindow), Slack: s.RetrySlack},
-		ColdOvershoot: s.ColdOvershoot, ColdSlack: s.ColdSlack, StopTime: time.Duration(s.StopTimeout),
+		Life: binary.LittleEndian.Uint64(random[:8]), Seed: binary.LittleEndian.Uint64(random[8:]), Limits: limits,
 	})
 	d.loop = driver.NewLoop(driver.Config[gateway.Input, gateway.Output]{Engine: core, Actor: d, Clock: d.clock, Observe: d.observe})
 	return d, d.listen(p)
 }
 
+// coreLimits returns the settings that may change while the instance runs.
+func coreLimits(s settings.Gateway) (gateway.Limits, error) {
+	seeds, err := s.PeerSeeds()
+	return gateway.Limits{
+		Seeds:         seeds,
+		Budget:        gateway.BudgetLimits{Ratio: s.RetryRatio, Window: time.Duration(s.RetryWindow), Slack: s.RetrySlack},
+		ColdOvershoot: s.ColdOvershoot, ColdSlack: s.ColdSlack, StopTime: time.Duration(s.StopTimeout),
+	}, err
+}
+
+// Reload takes over settings that were read again. Those that can't change while
+// the process runs are named in the log and count from its next start.
+func (d *Daemon) Reload(s settings.Gateway) {
+	limits, err := coreLimits(s)
+	if err != nil {
+		d.log.ReadFailed("settings", err)
+		return
+	}
+	d.loop.Submit(gateway.LimitsChanged{Limits: limits})
+	d.log.Info("SettingsReloaded", map[string]any{"subject": d.settings.Instance, "needs_restart": d.settings.FixedChanges(s)})
+}
+
 func (d *Daemon) listen(p Platform) error {
 	s := d.settings
 	var listeners [4]net.Listener
--- a/node/gateway/run.go
+++ b/node/gateway/run.go
@@ -1,25 +1,40 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"galenadyke.dev/node/settings"
 )
 
-// heapShare is the part of the memory limit that the collector keeps to; the
-// rest is for stacks, buffers of the system and the program itself.
-const heapShare = 0.6
+const (
+	// heapShare is the part of the memory limit that the collector keeps to; the
+	// rest is for stacks, buffers of the system and the program itself.
+	heapShare = 0.6
+	// settingsInterval is the time between two looks at the settings file, which
+	// may change without a signal.
+	settingsInterval = 2 * time.Second
+)
 
 // Run runs an instance until a signal has stopped it, and returns the exit
 // status: 0 after a graceful stop.
-func Run(s settings.Gateway, p Platform, w io.Writer) int {
+func Run(path string, p Platform, w io.Writer) int {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	file := &settingsFile{path: path}
+	s, findings, _ := file.read()
+	for _, f := range findings {
+		fmt.Fprintln(os.Stderr, f)
+	}
+	if len(findings) > 0 {
+		return 1
+	}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryMB) * (1 << 20)))
 	}
@@ -29,20 +44,23 @@
 		return 1
 	}
 	d.Start()
+	look := time.NewTicker(settingsInterval)
+	defer look.Stop()
 	stopping := false
 	for {
 		select {
 		case sig := <-signals:
 			switch {
 			case sig == syscall.SIGHUP:
-				// Settings other than those of the start are in the configuration.
-				d.log.Info("ReloadRequested", map[string]any{"subject": s.Instance})
+				d.reloadFrom(file)
 			case stopping:
 				return 128 + int(sig.(syscall.Signal))
 			default:
 				stopping = true
 				d.Shutdown()
 			}
+		case <-look.C:
+			d.reloadFrom(file)
 		case <-d.Stopped():
 			d.Close()
 			return 0
@@ -53,3 +71,35 @@
 		}
 	}
 }
+
+// settingsFile remembers what was read last.
+type settingsFile struct {
+	path string
+	last []byte
+}
+
+// read reads and checks the file. changed is false if it holds what it held.
+func (f *settingsFile) read() (s settings.Gateway, findings []settings.Finding, changed bool) {
+	raw, err := os.ReadFile(f.path)
+	if err != nil {
+		return s, []settings.Finding{{Message: err.Error(), Remedy: "name a readable file; `galenadyked settings --gateway` prints one to start from"}}, true
+	}
+	if changed = !bytes.Equal(raw, f.last); changed {
+		f.last = raw
+	}
+	s, findings = settings.ParseGateway(raw)
+	return s, findings, changed
+}
+
+// reloadFrom takes over changed settings; faulty ones are logged and the old
+// ones stay in force.
+func (d *Daemon) reloadFrom(file *settingsFile) {
+	s, findings, changed := file.read()
+	switch {
+	case !changed:
+	case len(findings) > 0:
+		d.log.Error("SettingsRefused", map[string]any{"subject": d.settings.Instance, "finding": findings[0].String(), "findings": len(findings)})
+	default:
+		d.Reload(s)
+	}
+}
--- a/node/settings/gateway.go
+++ b/node/settings/gateway.go
@@ -142,6 +142,27 @@
 	return c.findings
 }
 
+// FixedChanges names the settings that differ and can't change while a process
+// runs.
+func (s Gateway) FixedChanges(next Gateway) []string {
+	var out []string
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"instance", s.Instance == next.Instance}, {"place", s.Place == next.Place}, {"store", s.Store == next.Store},
+		{"caller_listen", s.CallerListen == next.CallerListen}, {"ready_listen", s.ReadyListen == next.ReadyListen},
+		{"ready_path", s.ReadyPath == next.ReadyPath}, {"control_listen", s.ControlListen == next.ControlListen},
+		{"peer_listen", s.PeerListen == next.PeerListen}, {"capacity", s.Capacity == next.Capacity},
+		{"memory_mb", s.MemoryMB == next.MemoryMB}, {"log_level", s.LogLevel == next.LogLevel},
+	} {
+		if !f.same {
+			out = append(out, f.name)
+		}
+	}
+	return out
+}
+
 func (c *checker) atLeastZero(field string, value float64) {
 	if value < 0 {
 		c.add(field, "use 0 or more", "%v is negative", value)
