testbed: fault soak of the real processes

Four gateway processes against stand-ins, behind loopback proxies; faults in an order given by a seed, with calm checks of drain, evacuation, configuration and graceful stop between the storms.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-MODULES := core node ctl testbed
+MODULES := core platform node ctl testbed
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(shell go env GOPATH)/bin/golangci-lint
 export CGO_ENABLED := 1
 
-.PHONY: build test lint fmt-check demo bench gen
+.PHONY: build test lint fmt-check demo bench gen soak
 
 build:
 	go build -o bin/galenadyked ./node/cmd/galenadyked
@@ -30,3 +30,10 @@
 
 gen:
 	cd node/peer && buf generate
+	cd node/gateway && buf generate --path gateway.proto
+
+SEED ?= 1
+SEEDS ?= 1
+MINUTES ?= 1
+soak: build
+	bin/testbed-soak -seed $(SEED) -seeds $(SEEDS) -minutes $(MINUTES)
--- a/testbed/proc/proc.go
+++ b/testbed/proc/proc.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -32,6 +33,16 @@
 
 // Start starts a program. Its standard error goes to a file in dir.
 func Start(dir, name, path string, args ...string) (*Process, error) {
+	return start(dir, name, path, false, args)
+}
+
+// StartLogged starts a program whose standard output is a log too: both go to
+// the file in dir, and ReadJSON gets nothing.
+func StartLogged(dir, name, path string, args ...string) (*Process, error) {
+	return start(dir, name, path, true, args)
+}
+
+func start(dir, name, path string, logged bool, args []string) (*Process, error) {
 	p := &Process{
 		Name:    name,
 		LogPath: filepath.Join(dir, name+".log"),
@@ -47,8 +58,10 @@
 	p.cmd.Stderr = log
 	// The kernel ends the process if this program dies without a clean-up.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	out, err := p.cmd.StdoutPipe()
-	if err != nil {
+	var out io.Reader = strings.NewReader("")
+	if logged {
+		p.cmd.Stdout = log
+	} else if out, err = p.cmd.StdoutPipe(); err != nil {
 		return nil, err
 	}
 	if err := p.cmd.Start(); err != nil {
