telemetry: latency by route, help texts and a text form of the metrics

The platform fetches text from the metrics address of the deploy file; the control address serves expvar's form, the text and the help texts.

--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	cryptorand "crypto/rand"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -81,6 +82,7 @@
 	peers    *grpc.Server
 	control  *khttp.Server
 	balancer *khttp.Server
+	servers  map[string]*khttp.Server
 
 	ready   atomic.Pointer[gateway.ReadyChanged]
 	stopped chan struct{}
@@ -154,9 +156,12 @@
 
 func (d *Daemon) listen(p Platform) error {
 	s := d.settings
-	var listeners [4]net.Listener
+	var listeners [5]net.Listener
 	for i, l := range []struct{ field, address string }{{"caller_listen", s.CallerListen}, {"ready_listen", s.ReadyListen},
-		{"control_listen", s.ControlListen}, {"peer_listen", s.PeerListen}} {
+		{"control_listen", s.ControlListen}, {"peer_listen", s.PeerListen}, {"metrics_listen", s.MetricsListen}} {
+		if l.address == "" {
+			continue // metrics_listen is optional
+		}
 		var err error
 		if listeners[i], err = net.Listen("tcp", l.address); err != nil {
 			return fmt.Errorf("%s: %w; use a free port of an address of this machine", l.field, err)
@@ -170,6 +175,10 @@
 	d.front = newFront(listeners[0], p.Protocol, submit, d.clock.Boot, d.metrics)
 	d.balancer = newServer(listeners[1], http.HandlerFunc(d.serveReady))
 	d.control = newServer(listeners[2], http.HandlerFunc(d.serveControl))
+	d.servers = map[string]*khttp.Server{"callers": d.front.http, "balancer": d.balancer, "control": d.control}
+	if listeners[4] != nil {
+		d.servers["metrics"] = newServer(listeners[4], http.HandlerFunc(d.serveControl))
+	}
 	d.peerListener = listeners[3]
 	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), boot: d.clock.Boot}
 	d.state = &stateLink{socket: socket, submit: submit, log: d.log}
@@ -193,7 +202,7 @@
 	d.running.Go(func() { d.store.Run(d.ctx) })
 	d.running.Go(d.state.run)
 	d.running.Go(func() { d.report("peers", d.peers.Serve(d.peerListener)) })
-	for name, server := range map[string]*khttp.Server{"callers": d.front.http, "balancer": d.balancer, "control": d.control} {
+	for name, server := range d.servers {
 		d.running.Go(func() { d.report(name, server.Start(d.ctx)) })
 	}
 }
@@ -221,7 +230,7 @@
 func (d *Daemon) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, server := range []*khttp.Server{d.front.http, d.balancer, d.control} {
+	for _, server := range d.servers {
 		_ = server.Stop(ctx) // what is still open is cut off by the end of the process
 	}
 	d.cancel()
@@ -364,9 +373,23 @@
 	case "/debug/vars":
 		w.Header().Set("Content-Type", "application/json")
 		send(w, http.StatusOK, d.metrics.Vars())
+	case "/metrics":
+		explain(w, http.StatusOK, string(d.metrics.Text()))
+	case "/v1/metrics-help":
+		d.serveMetricsHelp(w)
 	case "/healthz":
 		explain(w, http.StatusOK, "ok")
 	default:
-		explain(w, http.StatusNotFound, "the paths are /healthz and /debug/vars")
+		explain(w, http.StatusNotFound, "the paths are /healthz, /debug/vars, /metrics and /v1/metrics-help")
+	}
+}
+
+func (d *Daemon) serveMetricsHelp(w http.ResponseWriter) {
+	raw, err := json.Marshal(telemetry.GatewayMetricTable())
+	if err != nil {
+		explain(w, http.StatusInternalServerError, err.Error())
+		return
 	}
+	w.Header().Set("Content-Type", "application/json")
+	send(w, http.StatusOK, raw)
 }
--- a/node/settings/gateway.go
+++ b/node/settings/gateway.go
@@ -25,6 +25,9 @@
 	ReadyPath   string `json:"ready_path"`
 	// ControlListen serves status and metrics to operators.
 	ControlListen string `json:"control_listen"`
+	// MetricsListen serves what ControlListen serves, at an address that the
+	// platform reads metrics from; empty for none.
+	MetricsListen string `json:"metrics_listen"`
 	// PeerListen is used over TCP and UDP by other instances, which reach this
 	// instance at exactly this address.
 	PeerListen string `json:"peer_listen"`
@@ -99,7 +102,7 @@
 	return map[string]any{
 		"instance": &s.Instance, "place": &s.Place,
 		"caller_listen": &s.CallerListen, "ready_listen": &s.ReadyListen, "ready_path": &s.ReadyPath,
-		"control_listen": &s.ControlListen, "peer_listen": &s.PeerListen, "seeds": &s.Seeds, "store": &s.Store,
+		"control_listen": &s.ControlListen, "metrics_listen": &s.MetricsListen, "peer_listen": &s.PeerListen, "seeds": &s.Seeds, "store": &s.Store,
 		"retry_ratio": &s.RetryRatio, "retry_window": &s.RetryWindow, "retry_slack": &s.RetrySlack,
 		"cold_overshoot": &s.ColdOvershoot, "cold_slack": &s.ColdSlack,
 		"stop_timeout": &s.StopTimeout, "capacity": &s.Capacity, "memory_mb": &s.MemoryMB, "log_level": &s.LogLevel,
@@ -115,6 +118,9 @@
 		{"caller_listen", s.CallerListen}, {"ready_listen", s.ReadyListen},
 		{"control_listen", s.ControlListen}, {"peer_listen", s.PeerListen},
 	}
+	if s.MetricsListen != "" {
+		listeners = append(listeners, struct{ field, value string }{"metrics_listen", s.MetricsListen})
+	}
 	for i, l := range listeners {
 		c.listen(l.field, l.value)
 		if slices.ContainsFunc(listeners[:i], func(o struct{ field, value string }) bool { return o.value == l.value }) {
--- a/node/telemetry/gateway_test.go
+++ b/node/telemetry/gateway_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"expvar"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -48,6 +50,41 @@
 	}
 }
 
+// Guards against metrics without a help text, help texts without a metric, and
+// labels without a bound.
+func TestGatewayMetricsAreDocumentedAndBounded(t *testing.T) {
+	m := NewGatewayMetrics()
+	for i := range 4 * maxRoutes {
+		m.Answered(gateway.Answer{Kind: gateway.AnswerTarget, Route: fmt.Sprint("r", i)}, 70*time.Millisecond)
+	}
+	m.AttemptEnded(gateway.OutcomeShed)
+	documented := map[string]bool{}
+	for _, info := range GatewayMetricTable() {
+		documented[info.Name] = info.Help != "" && info.Unit != ""
+	}
+	seen := map[string]bool{}
+	m.root.Do(func(kv expvar.KeyValue) {
+		seen[kv.Key] = true
+		if !documented[kv.Key] {
+			t.Errorf("%s has no help text or unit", kv.Key)
+		}
+	})
+	for name := range documented {
+		if !seen[name] {
+			t.Errorf("%s is documented and does not exist", name)
+		}
+	}
+	text := string(m.Text())
+	for _, want := range []string{`gateway_answers{of="target"} 256`, `gateway_attempts{of="shed"} 1`, `gateway_route_latency_ms{of="r1/p50"} 70`, "log_lines_dropped 0"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in the text", want)
+		}
+	}
+	if got := strings.Count(text, "/p99"); got > maxRoutes+1 {
+		t.Errorf("%d routes have metrics, want at most %d", got, maxRoutes+1)
+	}
+}
+
 // Guards against successes that displace failures under load, and against lines
 // that are left out without being counted.
 func TestFailuresHaveRoomBesideSuccesses(t *testing.T) {
