gateway: targets that recover serve requests that can't be repeated; soak supervises processes

Change: a target that was down is tried by any request if there is no other; further SIGTERMs change nothing; the soak supervises processes as the platform does.

--- a/core/gateway/placement.go
+++ b/core/gateway/placement.go
@@ -23,14 +23,20 @@
 		if !g.open(t) || p.triedTarget(t) {
 			continue
 		}
-		if t.downUntil > g.now || (t.downFor > 0 && (len(t.inFlight) > 0 || !r.route.Idempotent)) {
+		if t.downUntil > g.now {
 			continue
 		}
 		usable = true
-		if len(t.inFlight) >= g.connectionsOf(p.service) || !g.coldRoom(t, p.service) {
+		probed := t.downFor > 0 && len(t.inFlight) > 0
+		if probed || len(t.inFlight) >= g.connectionsOf(p.service) || !g.coldRoom(t, p.service) {
 			continue
 		}
 		estimate := g.estimate(t, work)
+		if t.downFor > 0 && !r.route.Idempotent {
+			// A request that can't be repeated tries a target that was down only if
+			// there is no other.
+			estimate += silentAfter
+		}
 		if t.Place == g.cfg.Place && estimate <= enough && t.slownessNow(g.now) < nearSlowness {
 			estimate = 0
 		}
--- a/core/gateway/targets_test.go
+++ b/core/gateway/targets_test.go
@@ -139,6 +139,42 @@
 	}
 }
 
+// Guards against a target that stays down for requests that can't be repeated
+// because no other request tries it: they try it if there is no other target.
+func TestRecoveredTargetServesNonIdempotentRequests(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, listed("s", 2), plainRoute(false))
+	w.targets["s-0"] = endsAfter(5*ms, OutcomeNotSent)
+	w.targets["s-1"] = endsAfter(5*ms, OutcomeNotSent)
+	for range 20 {
+		w.request("/p/x", time.Second)
+		w.run(50 * ms)
+	}
+	w.targets["s-0"], w.targets["s-1"] = answersAfter(10*ms), answersAfter(10*ms)
+	w.run(downMax)
+	served := 0
+	for range 20 {
+		id := w.request("/p/x", time.Second)
+		w.run(50 * ms)
+		if w.answers[id].Kind == AnswerTarget {
+			served++
+		}
+	}
+	if served < 19 {
+		t.Errorf("%d of 20 requests served after both targets recovered", served)
+	}
+	w.targets["s-0"] = endsAfter(5*ms, OutcomeNotSent)
+	for range 20 {
+		w.request("/p/x", time.Second)
+		w.run(50 * ms)
+	}
+	w.targets["s-0"] = answersAfter(10 * ms)
+	w.run(downMax)
+	if id := w.request("/p/x", time.Second); w.sentTo(id)[0] != "s-1" {
+		t.Error("a target that was down is tried although another one is up")
+	}
+}
+
 // Guards against a reset of connections beyond a target's bound: the requests in
 // flight of one instance stay within its share of the connections.
 func TestConnectionsStayWithinTheShare(t *testing.T) {
--- a/node/cmd/galenadyked/gateway.go
+++ b/node/cmd/galenadyked/gateway.go
@@ -19,7 +19,7 @@
 func (*gatewayCommand) Name() string     { return "gateway" }
 func (*gatewayCommand) Synopsis() string { return "run an instance that serves a platform's routes" }
 func (*gatewayCommand) Usage() string {
-	return "gateway --settings FILE\n  SIGTERM stops it gracefully, a second signal at once.\n"
+	return "gateway --settings FILE\n  SIGTERM stops it gracefully, a second SIGINT at once.\n"
 }
 func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.path, "settings", "", "settings file")
--- a/node/gateway/run.go
+++ b/node/gateway/run.go
@@ -23,7 +23,8 @@
 )
 
 // Run runs an instance until a signal has stopped it, and returns the exit
-// status: 0 after a graceful stop.
+// status: 0 after a graceful stop. Further SIGTERMs change nothing, as a platform
+// may send several; a second SIGINT ends the process at once.
 func Run(path string, p Platform, w io.Writer) int {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -53,9 +54,9 @@
 			switch {
 			case sig == syscall.SIGHUP:
 				d.reloadFrom(file)
-			case stopping:
-				return 128 + int(sig.(syscall.Signal))
-			default:
+			case stopping && sig == syscall.SIGINT:
+				return 128 + int(syscall.SIGINT)
+			case !stopping:
 				stopping = true
 				d.Shutdown()
 			}
--- a/testbed/proc/proc.go
+++ b/testbed/proc/proc.go
@@ -114,6 +114,9 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Wait waits for the end of the process.
+func (p *Process) Wait() { <-p.done }
+
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill() // fails only if the process has ended
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -115,29 +115,17 @@
 	in := r.anyInstance()
 	r.log("kill %s", in.name)
 	in.kill()
-	r.restart(in)
 }
 
-func (r *runner) restart(in *instance) {
-	if err := r.w.start(in); err != nil {
-		r.report.breaks("restart %s: %v", in.name, err)
-	}
-}
-
-// terminate stops an instance gracefully in the background and starts it again.
+// terminate stops an instance gracefully in the background.
 func (r *runner) terminate() {
 	in := r.anyInstance()
 	p := in.process()
 	r.log("terminate %s", in.name)
 	r.paused.Go(func() {
-		err := p.Stop(stopBound)
-		if in.wasKilled(p) {
-			return
-		}
-		if err != nil {
+		if err := p.Stop(stopBound); err != nil && !in.wasKilled(p) {
 			r.report.breaks("graceful stop: %v", err)
 		}
-		r.restart(in)
 	})
 }
 
@@ -276,7 +264,6 @@
 	if err := in.process().Stop(stopBound); err != nil {
 		r.report.breaks("graceful stop: %v", err)
 	}
-	r.restart(in)
 	if err := r.w.waitReady(readyTime); err != nil {
 		r.report.breaks("%v", err)
 	}
