--- a/core/gateway/budget.go
+++ b/core/gateway/budget.go
@@ -55,7 +55,7 @@
 // left returns what is left now. The extras of one more bucket than the window
 // are counted, so that no window of the same length holds more.
 func (b *retryBudget) left(now time.Duration, limits BudgetLimits, instances int) budgetLeft {
-	oldest := int(b.advance(now, limits)+1) % (budgetBuckets + 1)
+	oldest := (b.advance(now, limits) + 1) % (budgetBuckets + 1)
 	requests, extras := 0.0, 0.0
 	for i := range b.requests {
 		extras += b.extras[i]
--- a/core/model/errors.go
+++ b/core/model/errors.go
@@ -28,7 +28,7 @@
 }
 
 // Kind is the stable identifier of an error. The runbook in
-// docs/operations.md has an entry for each.
+// docs/OPERATIONS.md has an entry for each.
 type Kind uint16
 
 // The kinds of error, with their identifiers.
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -305,7 +305,7 @@
 	go func() {
 		ended, rep := d.upstream.do(c)
 		d.removeCall(out.Attempt)
-		if rep != nil && !(out.Gather && ended.Outcome == gateway.OutcomeSuccess) {
+		if rep != nil && (!out.Gather || ended.Outcome != gateway.OutcomeSuccess) {
 			req.keep(out.Attempt, rep)
 		}
 		d.metrics.AttemptEnded(ended.Outcome)
--- a/node/gateway/upstream.go
+++ b/node/gateway/upstream.go
@@ -177,7 +177,6 @@
 			if resp.Close {
 				break
 			}
-			clean = false
 			continue
 		}
 		r = &reply{status: resp.StatusCode, header: resp.Header, body: body}
