gateway: an instance that stops does not gather for others

Cause: a request passed on to an instance that was about to end, or that had ended, counted as possibly sent and was answered 502. Change: a stopping instance refuses them as not run; without a connection an unavailable instance counts as not reached. The soak has an instance without servers near it, so that it passes its queries on.

--- a/core/gateway/gatherers.go
+++ b/core/gateway/gatherers.go
@@ -82,6 +82,21 @@
 	return true
 }
 
+// delegationRefusal says why this instance does not gather for another one; empty
+// if it does.
+func (g *Gateway) delegationRefusal(d *Delegation) string {
+	switch {
+	case d == nil:
+		return ""
+	case d.Configuration > g.config.Version:
+		return "this instance has an older configuration"
+	case g.stop.begun:
+		return "the instance stops"
+	default:
+		return ""
+	}
+}
+
 // minDelegatedShards is the least number of shards for which the messages saved
 // outweigh the one that is added.
 const minDelegatedShards = 4
--- a/core/gateway/gatherers_test.go
+++ b/core/gateway/gatherers_test.go
@@ -166,6 +166,23 @@
 	}
 }
 
+// Guards against requests of others that a graceful stop cuts off: an instance
+// that stops refuses them, so that they are gathered elsewhere.
+func TestStoppingInstanceDoesNotGatherForOthers(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	w.step(Stop{})
+	w.step(Arrived{Request: 50, Host: "h.example", Path: "/g/x", At: w.now, Remaining: time.Second,
+		Delegated: &Delegation{Objective: 90 * ms, Deadline: 900 * ms, Configuration: 1}})
+	if a := w.answers[50]; a.Kind != AnswerRefused || len(w.sent) != 0 {
+		t.Errorf("answered %v after %d sends, want a refusal", a.Kind, len(w.sent))
+	}
+	id := w.request("/g/x", time.Second)
+	if len(w.sentTo(id)) != 8 {
+		t.Error("its own callers are not served during the stop")
+	}
+}
+
 // Guards against shares of connections and budget for the whole fleet where few
 // instances gather.
 func TestSharesOfShardsAreThoseOfGatherers(t *testing.T) {
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -92,8 +92,8 @@
 		g.schedule(r)
 		return
 	}
-	if d := in.Delegated; d != nil && d.Configuration > g.config.Version {
-		g.refuse(r, "this instance has an older configuration")
+	if reason := g.delegationRefusal(in.Delegated); reason != "" {
+		g.refuse(r, reason)
 		return
 	}
 	g.startParts(r)
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -9,8 +9,11 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"galenadyke.dev/core/gateway"
 	"galenadyke.dev/node/gateway/gatewaypb"
@@ -69,6 +72,15 @@
 	return gatewaypb.NewGatewayClient(c), nil
 }
 
+// connected reports whether there is a connection to an address. Without one a
+// call that fails as unavailable was not sent.
+func (p *peerClients) connected(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns[address]
+	return c != nil && c.GetState() == connectivity.Ready
+}
+
 // drop closes the connection to an address, which may have fallen silent.
 func (p *peerClients) drop(address string) {
 	p.mu.Lock()
@@ -154,6 +166,7 @@
 		ended.Cause = err.Error()
 		return ended
 	}
+	connected := d.clients.connected(out.To)
 	now := d.clock.Boot()
 	ctx, cancel := context.WithTimeout(ctx, out.Deadline-now)
 	defer cancel()
@@ -164,7 +177,9 @@
 	})
 	if err != nil {
 		ended.Cause = err.Error()
-		ended.Outcome = gateway.OutcomeBroken
+		if connected || status.Code(err) != codes.Unavailable {
+			ended.Outcome = gateway.OutcomeBroken
+		}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			ended.Outcome = gateway.OutcomeTimedOut
 			d.clients.drop(out.To)
--- a/testbed/soak/world.go
+++ b/testbed/soak/world.go
@@ -110,8 +110,12 @@
 	version     int
 }
 
-// places alternate over servers and instances.
-var places = []string{"ikeja", "lekki"}
+// places alternate over the servers. An instance in the last of instancePlaces
+// has no server near it, and lets others gather.
+var (
+	places         = []string{"ikeja", "lekki"}
+	instancePlaces = []string{"ikeja", "lekki", "ikeja", "yaba"}
+)
 
 func newWorld(dir, bin string, instances, base int) (*world, error) {
 	w := &world{dir: dir, bin: bin, store: platformtest.NewStore(7), servers: make(map[string]*server)}
@@ -197,7 +201,7 @@
 		return err
 	}
 	s := settings.GatewayDefaults()
-	s.Instance, s.Place, s.Store = in.name, places[i%len(places)], in.store.address()
+	s.Instance, s.Place, s.Store = in.name, instancePlaces[i%len(instancePlaces)], in.store.address()
 	s.CallerListen, s.ReadyListen, s.ControlListen, s.PeerListen = in.ip+":8000", in.ip+":8001", in.ip+":8002", in.ip+":8003"
 	s.Seeds = []string{fmt.Sprintf("127.77.%d.1:8002", base), fmt.Sprintf("127.77.%d.2:8002", base)}
 	in.settings = filepath.Join(w.dir, in.name+".json")
