--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -98,6 +98,9 @@
 
 	// refusedRetryAfter is the shortest delay told to a caller that was refused.
 	refusedRetryAfter = 50 * time.Millisecond
+	// startRetryAfter is the shortest delay told to a caller while no configuration
+	// is known: the time between two reads of a store that does not answer yet.
+	startRetryAfter = 300 * time.Millisecond
 	// queueShare is the part of the latency objective for which a plain request
 	// waits for a free target before it is refused.
 	queueShare = 0.25
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -77,8 +77,10 @@
 // arrive admits a request or answers it at once.
 func (g *Gateway) arrive(in Arrived) {
 	if g.config == nil || !g.store.known {
-		g.emit(Answer{Request: in.Request, Kind: AnswerRefused, RetryAfter: refusedRetryAfter, Closing: true,
-			Reason: "no configuration is known yet"})
+		// The next read of the store comes in that time; callers that return
+		// together would meet an instance that has just started.
+		g.emit(Answer{Request: in.Request, Kind: AnswerRefused, Closing: true, Reason: "no configuration is known yet",
+			RetryAfter: startRetryAfter + time.Duration(g.rng.Float64()*float64(startRetryAfter))})
 		return
 	}
 	route := g.routes.match(in.Host, in.Path)
--- a/core/gateway/request_test.go
+++ b/core/gateway/request_test.go
@@ -14,8 +14,8 @@
 func TestRefusesUntilAConfigurationIsKnown(t *testing.T) {
 	w := newWorld(t)
 	id := w.request("/p/x", time.Second)
-	if a := w.answers[id]; a.Kind != AnswerRefused || a.RetryAfter <= 0 {
-		t.Errorf("got %v with Retry-After %v, want a refusal with a delay", a.Kind, a.RetryAfter)
+	if a := w.answers[id]; a.Kind != AnswerRefused || a.RetryAfter < startRetryAfter {
+		t.Errorf("got %v with Retry-After %v, want a refusal until the next read of the store", a.Kind, a.RetryAfter)
 	}
 	if w.ready.Ready {
 		t.Error("the instance is ready without a configuration")
