--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -12,9 +12,6 @@
 	"sync"
 	"time"
 
-	klog "github.com/go-kratos/kratos/v2/log"
-	"google.golang.org/grpc/grpclog"
-
 	"galenadyke.dev/core/engine"
 	"galenadyke.dev/core/model"
 	"galenadyke.dev/core/objects"
@@ -64,7 +61,7 @@
 
 // New opens the listeners and composes the parts. Log lines go to w.
 func New(s settings.Settings, w io.Writer) (*Daemon, error) {
-	quietLibraries()
+	telemetry.QuietLibraries()
 	core, err := coreConfig(s)
 	if err != nil {
 		return nil, err
@@ -122,13 +119,6 @@
 	d.list = platform.NewInstanceWatcher(s.InstancesURL, s.InstancesService, submit, d.log, d.metrics)
 }
 
-// quietLibraries stops libraries from writing lines of their own to stderr,
-// which holds one JSON object a line. Their loggers belong to the process.
-var quietLibraries = sync.OnceFunc(func() {
-	klog.SetLogger(klog.NewStdLogger(io.Discard))
-	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, io.Discard))
-})
-
 // Start starts all parts.
 func (d *Daemon) Start() {
 	d.log.Info("Started", map[string]any{"subject": d.core.Self, "incarnation": uint64(d.core.Incarnation),
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -14,10 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/grpclog"
 
 	"galenadyke.dev/core/gateway"
 	"galenadyke.dev/core/model"
@@ -107,7 +105,7 @@
 
 // New opens the listeners and composes the parts. Log lines go to w.
 func New(s settings.Gateway, p Platform, w io.Writer) (*Daemon, error) {
-	quietLibraries()
+	telemetry.QuietLibraries()
 	limits, err := coreLimits(s)
 	if err != nil {
 		return nil, err
@@ -187,13 +185,6 @@
 	return nil
 }
 
-// quietLibraries stops libraries from writing lines of their own to stderr,
-// which holds one JSON object a line.
-var quietLibraries = sync.OnceFunc(func() {
-	klog.SetLogger(klog.NewStdLogger(io.Discard))
-	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, io.Discard))
-})
-
 // Start starts all parts.
 func (d *Daemon) Start() {
 	s := d.settings
