--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -128,7 +128,7 @@
 	sourceRetryAfter = 3 * time.Second
 	// sourceStartDelay is the time after the start in which members get known
 	// before an instance decides whether to read the store itself.
-	sourceStartDelay = 1200 * time.Millisecond
+	sourceStartDelay = 1500 * time.Millisecond
 
 	// gathererCapacity is the least capacity of a gathering instance, as a share
 	// of the largest in the fleet, and gathererShards the least share of a route's
@@ -147,6 +147,9 @@
 	// message of about 700 bytes is answered, so that the control traffic of an
 	// instance is about 3 KB/s in a fleet of any size.
 	gossipInterval = time.Second
+	// startGossipInterval is used right after the start, so that the fleet is known
+	// before the instance decides whether to read the store itself.
+	startGossipInterval = 200 * time.Millisecond
 	// gossipNear is the share of the rounds that stay in the own data centre.
 	gossipNear = 0.75
 	// gossipStrong and gossipOthers bound the members named in one message that
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -106,7 +106,11 @@
 	for _, address := range g.gossipPeers() {
 		g.emit(SendState{To: address, State: g.stateMessage(true)})
 	}
-	g.after(gossipInterval, g.gossip)
+	interval := gossipInterval
+	if g.now-g.startedAt < 2*sourceStartDelay {
+		interval = startGossipInterval
+	}
+	g.after(interval, g.gossip)
 }
 
 // gossipPeers draws the receivers of a round: one member, most times of the own
--- a/core/gateway/members_test.go
+++ b/core/gateway/members_test.go
@@ -82,6 +82,24 @@
 	}
 }
 
+// Guards against an instance that decides on what it does for the fleet before
+// it knows the fleet: members get known within the start delay.
+func TestMembersGetKnownQuicklyAtTheStart(t *testing.T) {
+	w := newWorld(t)
+	w.hears(member0(0))
+	before := len(w.states)
+	w.run(sourceStartDelay)
+	if got, want := len(w.states)-before, int(sourceStartDelay/startGossipInterval); got < want-1 {
+		t.Errorf("%d messages before the decision, want %d", got, want)
+	}
+	w.run(10 * time.Second)
+	before = len(w.states)
+	w.run(10 * time.Second)
+	if got := len(w.states) - before; got > 11 {
+		t.Errorf("%d messages in 10 s later on, want one a second", got)
+	}
+}
+
 // Guards against messages that outgrow a datagram with the fleet.
 func TestStateMessageIsBounded(t *testing.T) {
 	w := newWorld(t)
