--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -114,7 +114,7 @@
 }
 
 // gossipPeers draws the receivers of a round: one member, most times of the own
-// data centre, as bytes between data centres are dear. Seeds that are not known
+// data centre, as bytes between data centres are expensive. Seeds that are not known
 // as members are tried in turn, so that fleets that do not know each other merge.
 func (g *Gateway) gossipPeers() []string {
 	near := g.rng.Float64() < gossipNear
@@ -202,7 +202,7 @@
 }
 
 // merge takes over a member's state. Lives have no order, as clocks jump: a
-// message from the member itself decides, and hearsay of another life counts
+// message from the member itself decides, and what others say of another life counts
 // only when the known life is silent.
 func (g *Gateway) merge(s MemberState, direct bool) {
 	m := g.members.byName[s.Name]
--- a/core/gateway/members_test.go
+++ b/core/gateway/members_test.go
@@ -56,9 +56,9 @@
 	w.hears(old)
 	again := member0(0)
 	again.Life, again.Beat, again.Configuration = 3, 1, 4
-	w.hears(member0(1), again) // hearsay of another life while the known one lives
+	w.hears(member0(1), again) // another life, second-hand, while the known one is alive
 	if got := w.g.members.byName["m00"].Life; got != 9 {
-		t.Errorf("life %d by hearsay, want the one that was heard itself", got)
+		t.Errorf("life %d second-hand, want the one that spoke itself", got)
 	}
 	w.hears(again)
 	if got := w.g.members.byName["m00"]; got.Life != 3 || got.Configuration != 4 {
--- a/core/gateway/placement.go
+++ b/core/gateway/placement.go
@@ -7,7 +7,7 @@
 )
 
 // Placement answers an even load with targets of the own data centre, as bytes
-// between data centres are dear, a load that fills them with the others, and
+// between data centres are expensive, a load that fills them with the others, and
 // targets that slow down, pause, shed or fall silent by avoiding them before a
 // request waits on them.
 
--- a/core/gateway/request_test.go
+++ b/core/gateway/request_test.go
@@ -218,7 +218,7 @@
 }
 
 // Guards against sends to targets that leave: neither first attempts nor hedges
-// go to a target that drains, has left, has a stranger at its address, or is in
+// go to a target that drains, has left, has lost its address to another target, or is in
 // an evacuated data centre.
 func TestNoSendsToTargetsThatLeave(t *testing.T) {
 	draining := listed("s", 3)
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -97,7 +97,6 @@
 	peerListener net.Listener
 	ctx          context.Context
 	cancel       context.CancelFunc
-	running      sync.WaitGroup
 }
 
 // closeTimeout bounds the end of the servers.
@@ -189,12 +188,12 @@
 func (d *Daemon) Start() {
 	s := d.settings
 	d.log.Info("Started", map[string]any{"subject": s.Instance, "callers": s.CallerListen, "peers": s.PeerListen, "store": s.Store})
-	d.running.Go(d.loop.Run)
-	d.running.Go(func() { d.store.Run(d.ctx) })
-	d.running.Go(d.state.run)
-	d.running.Go(func() { d.report("peers", d.peers.Serve(d.peerListener)) })
+	go d.loop.Run()
+	go d.store.Run(d.ctx)
+	go d.state.run()
+	go func() { d.report("peers", d.peers.Serve(d.peerListener)) }()
 	for name, server := range d.servers {
-		d.running.Go(func() { d.report(name, server.Start(d.ctx)) })
+		go func() { d.report(name, server.Start(d.ctx)) }()
 	}
 }
 
