testbed: searches of a test that are sent at once are at the target at once

Change: searches last 500 ms in this test and in TestColdTargetFailsOver, which assumes the same. What is asserted is unchanged.

--- a/testbed/target/target_test.go
+++ b/testbed/target/target_test.go
@@ -46,6 +46,10 @@
 	return answer.StatusCode, string(body)
 }
 
+// slow lets searches last so long that those sent at once also are at the target
+// at once, on a busy machine too.
+func slow(c *Config) { c.Service.Mean = units.Duration(500 * time.Millisecond) }
+
 // together sends n searches at once and returns how many got each status.
 func together(s *Server, n int) map[int]int {
 	var mu sync.Mutex
@@ -66,7 +70,7 @@
 // Guards against a stand-in that runs more than its slots, or that does not
 // say that a shed request did not run.
 func TestSlotsQueueAndShed(t *testing.T) {
-	s := start(t, func(c *Config) { c.QueueLimit = 3 })
+	s := start(t, func(c *Config) { slow(c); c.QueueLimit = 3 })
 	got := together(s, 8)
 	c := s.Counts().Targets[0]
 	if got[200] != 5 || got[503] != 3 || c.Sheds != 3 || c.MaxAtOnce != 5 {
@@ -77,7 +81,7 @@
 // Guards against a cold target that bears full load, or that fails over
 // without a new incarnation.
 func TestColdTargetFailsOver(t *testing.T) {
-	s := start(t, func(c *Config) { c.Cold.Warm, c.Cold.OverloadLimit = false, 2 })
+	s := start(t, func(c *Config) { slow(c); c.Cold.Warm, c.Cold.OverloadLimit = false, 2 })
 	got := together(s, 3)
 	c := s.Counts().Targets[0]
 	if got[200] != 0 || c.FailOvers != 1 || c.Incarnation != 2 || c.Overloads != 2 {
