gateway: take the fleet for large right after the start

Each instance computed its share of connections for 4 instances, or 3 that gather, until it knew the others: 8 times 6 to 8 connections at a bound of 31. Change: for the first 1.5 s shares are computed for 10 instances at least.

--- a/core/gateway/gatherers.go
+++ b/core/gateway/gatherers.go
@@ -235,13 +235,9 @@
 	if !s.shard {
 		return g.fleetSize()
 	}
-	return max(minSharers, g.gatherers())
+	return max(g.leastFleet(), g.gatherers())
 }
 
-// minSharers is the least number of instances that shares are computed for: the
-// instances may not agree on who gathers.
-const minSharers = 3
-
 // gatherers counts the strong instances in data centres that have targets of
 // shards: the most of the last fleetMemory, counted each gossip interval.
 func (g *Gateway) gatherers() int {
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -85,8 +85,11 @@
 	// use together; the rest covers instances that are not known yet, health
 	// checks, and connections that are being replaced.
 	connectionShare = 0.85
-	// minInstances is the assumed fleet before any member is known.
+	// minInstances is the least fleet that shares are computed for: instances may
+	// not agree on who is there.
 	minInstances = 4
+	// startInstances is the least fleet right after the start.
+	startInstances = 10
 	// fleetMemory is how long the largest known fleet counts for shares.
 	fleetMemory = 15 * time.Second
 
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -69,7 +69,16 @@
 // fleetSize returns the number of instances that shares are computed for: the
 // most that were alive in the last fleetMemory.
 func (g *Gateway) fleetSize() int {
-	return max(minInstances, g.members.largest)
+	return max(g.leastFleet(), g.members.largest)
+}
+
+// leastFleet returns the size of the fleet that is assumed at least. All
+// instances may have started together and not know each other yet.
+func (g *Gateway) leastFleet() int {
+	if g.now-g.startedAt < sourceStartDelay {
+		return startInstances
+	}
+	return minInstances
 }
 
 func (g *Gateway) countFleet() {
--- a/core/gateway/members_test.go
+++ b/core/gateway/members_test.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// Guards against connections beyond the bound of targets when all instances have
+// started together: until the members get known, the fleet is taken for large.
+func TestSharesAreSmallRightAfterTheStart(t *testing.T) {
+	w := newWorld(t)
+	w.publish(1, listed("s", 1), plainRoute(true))
+	w.g.service("s").limits.MaxConnections = 31
+	w.targets["s-0"] = answersAfter(300 * ms)
+	for range 30 {
+		w.request("/p/x", time.Second)
+	}
+	if got, bound := len(w.sent), 31/8; got > bound {
+		t.Errorf("%d requests in flight at once, the share of 8 instances that do not know each other is %d", got, bound)
+	}
+}
+
 // Guards against a restarted instance that is taken for its former life: lives
 // have no order, because clocks jump, so its own word counts.
 func TestNewLifeOfAMemberReplacesTheFormer(t *testing.T) {
