--- a/core/gateway/doc.go
+++ b/core/gateway/doc.go
@@ -18,7 +18,8 @@
 // The tables are requests, attempts, services, targets and members. A request
 // has one part for a plain route and one part for each shard of a gathering
 // route. A part has one or more attempts, each at another target. An attempt
-// belongs to exactly one part and is removed when AttemptEnded arrives, which
+// belongs to one part, or to the whole request if another instance gathers it,
+// and is removed when AttemptEnded arrives, which
 // may be after its request was answered.
 //
 // # Invariants
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -105,7 +105,7 @@
 	// Cold is how long the target says it stays cold, valid if HasCold.
 	Cold    time.Duration
 	HasCold bool
-	// Connected is false if a connection had to be opened.
+	// Reused is false if a connection had to be opened.
 	Reused bool
 	// Cause describes a failure, for log lines.
 	Cause string
