settings: the printed defaults of a gateway pass the check of their form

Change: an empty list. The new test fails before and passes after it. The deploy template always gives seeds, so a running instance is not changed.

--- a/node/settings/gateway.go
+++ b/node/settings/gateway.go
@@ -60,6 +60,7 @@
 func GatewayDefaults() Gateway {
 	return Gateway{
 		ReadyPath:     "/readyz",
+		Seeds:         []string{},
 		RetryRatio:    0.2,
 		RetryWindow:   Duration(10 * time.Second),
 		RetrySlack:    50,
--- a/node/settings/gateway_test.go
+++ b/node/settings/gateway_test.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// Guards against printed defaults that the check refuses for their form: only what
+// the platform chooses is missing.
+func TestGatewayDefaultsLackOnlyWhatThePlatformChooses(t *testing.T) {
+	_, findings := ParseGateway(GatewayDefaults().JSON())
+	var fields []string
+	for _, f := range findings {
+		if !slices.Contains(fields, f.Field) {
+			fields = append(fields, f.Field)
+		}
+	}
+	if diff := cmp.Diff([]string{"instance", "place", "caller_listen", "ready_listen", "control_listen", "peer_listen", "store"}, fields); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against seeds that are asked at the wrong port, and against a reload
 // that hides what needs a restart.
 func TestGatewaySeedsAndFixedChanges(t *testing.T) {
