gateway: attempts in other data centres are sent as batches

Change: attempts of a gathering request that go to another data centre at the same time are one message to an instance there (core/gateway/batch.go, RPC Forward). It sends each attempt once and reports the ends, with the greatest records of all first attempts merged. Hedging, retries, budgets and the choice of targets stay with the sender, so the bounds on attempts hold without messages, and a slow, silent or lost forwarder costs a hedge or a retry. An instance that refuses, is not reached or is of an older build makes the sender send the attempts directly. Connections to shards of another data centre are no longer opened ahead if there is a forwarder. Cancellation now also reaches attempts at targets that were removed meanwhile.

--- /dev/null
+++ b/core/gateway/batch_test.go
@@ -0,0 +1,363 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"galenadyke.dev/core/model"
+)
+
+// remoteTargets returns for each of n shards a target in lekki and one in yaba. The
+// gateway is in ikeja.
+func remoteTargets(n int) []Target {
+	var out []Target
+	for i := range n {
+		for j, place := range []model.PlaceID{"lekki", "yaba"} {
+			t := readyTargets(shard(i), j+1)[j]
+			t.Place = place
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// newHarnessWithForwarder returns an instance with a route over n shards whose targets are
+// in lekki and, if it is slower, in yaba. Only lekki has a forwarder.
+func newHarnessWithForwarder(t *testing.T, n int, coverage float64) *harness {
+	h := newHarness(t)
+	m := otherMember(1)
+	m.Place, m.Configuration = "lekki", 1
+	h.receiveState(m)
+	h.publish(1, remoteTargets(n), gatherRoute(n, coverage))
+	for _, target := range h.g.targets {
+		if target.Place == "yaba" {
+			target.slowness, target.slownessAt = 4, h.now // so that first attempts go to lekki
+		}
+	}
+	return h
+}
+
+// delegatedRequest passes a request over all shards to the gateway that another instance
+// delegates, so that it is not delegated again, and returns its ID.
+func (h *harness) delegatedRequest() RequestID {
+	h.lastRequest++
+	h.step(Arrived{Request: h.lastRequest, Host: "h.example", Path: "/g/x", At: h.now, Remaining: time.Second,
+		Delegated: &Delegation{Objective: 100 * ms, Deadline: 980 * ms, Configuration: 1}})
+	return h.lastRequest
+}
+
+// succeeded returns the successful end of the attempt at index i of a batch.
+func succeeded(i int, stamp string) BatchEnd {
+	return BatchEnd{Index: i, End: AttemptEnded{Outcome: OutcomeSuccess, Status: 200, Reused: true, Took: 5 * ms, Part: Part{Stamp: stamp}}}
+}
+
+// Guards against a message to each shard across data centres: the attempts in another data
+// centre are one message, and its reply makes the whole answer.
+func TestAttemptsInAnotherPlaceAreForwardedAsABatch(t *testing.T) {
+	h := newHarnessWithForwarder(t, 8, 1)
+	id := h.delegatedRequest()
+	if len(h.batches) != 1 || len(h.batches[0].Targets) != 8 || len(h.sent) != 0 {
+		t.Fatalf("got %d batches and %d direct attempts, want 1 batch of 8 attempts and 0 direct attempts", len(h.batches), len(h.sent))
+	}
+	b := h.batches[0]
+	reply := BatchReplied{Batch: b.Batch, Records: append(record(9), record(5)...)}
+	for i := range 8 {
+		reply.Ends = append(reply.Ends, succeeded(i, fmt.Sprint("stamp", i)))
+	}
+	h.step(reply, BatchEnded{Batch: b.Batch, Outcome: OutcomeSuccess})
+	if a := h.answers[id]; a.Kind != AnswerGathered || len(a.Stamps) != 8 || a.Missing != 0 || !bytes.Equal(a.Records, reply.Records) {
+		t.Errorf("got answer %v with %d stamps and %d bytes of records, want gathered with 8 stamps and the 32 bytes of the reply", a.Kind, len(a.Stamps), len(a.Records))
+	}
+	if len(h.g.attempts) != 0 || len(h.g.batches) != 0 || len(h.g.requests) != 0 {
+		t.Errorf("%d attempts, %d batches and %d requests are left, want none", len(h.g.attempts), len(h.g.batches), len(h.g.requests))
+	}
+}
+
+// Guards against callers that wait for a forwarder that is silent: its parts are hedged,
+// and the caller is answered within the objective. The forwarder gets no new batches, and
+// nothing that it does is counted against its targets.
+func TestPartsOfASilentForwarderAreHedged(t *testing.T) {
+	h := newHarnessWithForwarder(t, 8, 1)
+	start := h.now
+	id := h.delegatedRequest()
+	h.run(400 * ms)
+	a, ok := h.answers[id]
+	if !ok || a.Kind != AnswerGathered || a.Missing != 0 {
+		t.Fatalf("got answer %v, want a complete gathered answer", a.Kind)
+	}
+	if took := h.answeredAt[id] - start; took > 120*ms {
+		t.Errorf("answered after %v, want within 120 ms", took)
+	}
+	if len(h.sent) != 8 {
+		t.Errorf("got %d direct attempts, want 8 hedges", len(h.sent))
+	}
+	h.run(time.Second) // until the attempts in flight are cancelled
+	if !slices.Contains(h.cancelled, h.batches[0].Batch) {
+		t.Error("the batch was not cancelled, want it cancelled after the answer")
+	}
+	h.step(BatchEnded{Batch: h.batches[0].Batch, Outcome: OutcomeTimedOut})
+	for _, id := range sortedKeys(h.g.targets) {
+		if target := h.g.targets[id]; target.downUntil > 0 || len(target.inFlight) > 0 {
+			t.Errorf("target %s is down until %v with %d attempts in flight, want up with none", id, target.downUntil, len(target.inFlight))
+		}
+	}
+}
+
+// Guards against attempts that are lost or made twice when an instance refuses to forward
+// or can't be reached: the attempts are sent directly, each once.
+func TestRefusedBatchIsSentDirectly(t *testing.T) {
+	for name, end := range map[string]func(SendBatch) Input{
+		"not reached": func(b SendBatch) Input { return BatchEnded{Batch: b.Batch, Outcome: OutcomeNotSent, Cause: "refused"} },
+		"older build": func(b SendBatch) Input { return BatchEnded{Batch: b.Batch, Outcome: OutcomeShed, Cause: "unimplemented"} },
+		"each refused": func(b SendBatch) Input {
+			in := BatchReplied{Batch: b.Batch}
+			for i := range b.Targets {
+				in.Ends = append(in.Ends, BatchEnd{Index: i, Refused: true})
+			}
+			return in
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarnessWithForwarder(t, 8, 1)
+			id := h.delegatedRequest()
+			h.step(end(h.batches[0]))
+			if len(h.sent) != 8 {
+				t.Fatalf("got %d direct attempts, want 8", len(h.sent))
+			}
+			h.run(50 * ms)
+			if a := h.answers[id]; a.Kind != AnswerGathered || a.Missing != 0 || a.Attempts != 8 {
+				t.Errorf("got answer %v after %d attempts, want a complete gathered answer after 8", a.Kind, a.Attempts)
+			}
+		})
+	}
+}
+
+// Guards against more attempts for a shard than the route allows, and against parts that
+// are given up, when a forwarder fails after it may have sent the attempts: each part is
+// retried at its other target, and the instance is not asked to forward again.
+func TestPartsOfALostForwarderAreRetried(t *testing.T) {
+	h := newHarnessWithForwarder(t, 8, 1)
+	id := h.delegatedRequest()
+	h.step(BatchEnded{Batch: h.batches[0].Batch, Outcome: OutcomeBroken, Cause: "reset"})
+	h.run(50 * ms)
+	if a := h.answers[id]; a.Kind != AnswerGathered || a.Missing != 0 || a.Attempts != 16 {
+		t.Errorf("got answer %v after %d attempts, want a complete gathered answer after 16: two for each part", a.Kind, a.Attempts)
+	}
+	for _, s := range h.sent {
+		if slices.Contains(h.batches[0].Targets, s.Target) {
+			t.Errorf("target %s, which may have run its part, got it again", s.Target)
+		}
+	}
+	h.delegatedRequest()
+	if len(h.batches) != 1 {
+		t.Errorf("got %d batches, want no further one through the instance that failed", len(h.batches))
+	}
+}
+
+// Guards against replies that are malformed, as from another build: the batch counts as
+// broken, and the request is answered from other targets.
+func TestMalformedBatchReplyIsRefused(t *testing.T) {
+	for name, reply := range map[string]BatchReplied{
+		"index out of range":      {Ends: []BatchEnd{succeeded(8, "x")}},
+		"negative index":          {Ends: []BatchEnd{succeeded(-1, "x")}},
+		"attempt named twice":     {Ends: []BatchEnd{succeeded(0, "x"), succeeded(0, "y")}},
+		"success without a stamp": {Ends: []BatchEnd{succeeded(0, "")}},
+		"unknown outcome":         {Ends: []BatchEnd{{Index: 0, End: AttemptEnded{Outcome: 200}}}},
+		"part of a record":        {Ends: []BatchEnd{succeeded(0, "x")}, Records: record(1)[:9]},
+		"too many records":        {Ends: []BatchEnd{succeeded(0, "x")}, Records: bytes.Repeat(record(1), 4)},
+		"records without parts":   {Records: record(1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarnessWithForwarder(t, 8, 1)
+			id := h.delegatedRequest()
+			reply.Batch = h.batches[0].Batch
+			h.step(reply)
+			if !slices.Contains(h.cancelled, reply.Batch) || !h.sawEvent("ForwarderAvoided", "m01") {
+				t.Error("the batch was not cancelled or its forwarder not avoided")
+			}
+			h.step(reply, BatchEnded{Batch: reply.Batch, Outcome: OutcomeTimedOut}) // must have no effect
+			h.run(50 * ms)
+			if a := h.answers[id]; a.Kind != AnswerGathered || a.Missing != 0 {
+				t.Errorf("got answer %v, want a complete gathered answer", a.Kind)
+			}
+		})
+	}
+}
+
+// Guards against answers whose records don't belong to the parts that they name: in any
+// order of replies, hedges and failures, the records are the greatest of exactly the parts
+// with a stamp, and no part counts twice.
+func TestForwardedAnswerHoldsTheRecordsOfItsParts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const shards = 6
+		h := newHarnessWithForwarder(t, shards, 0.5)
+		records := make(map[string][]byte) // by stamp
+		part := func(target model.TargetID) Part {
+			stamp := "stamp-" + string(target)
+			if records[stamp] == nil {
+				records[stamp] = bytes.Repeat(record(rapid.Byte().Draw(rt, "record")), rapid.IntRange(0, 4).Draw(rt, "records"))
+			}
+			return Part{Stamp: stamp, Records: records[stamp]}
+		}
+		for _, target := range h.g.targets {
+			h.targets[target.ID] = func(s SendAttempt) (time.Duration, AttemptEnded) {
+				return time.Duration(rapid.IntRange(1, 60).Draw(rt, "hedge_ms")) * ms,
+					AttemptEnded{Outcome: OutcomeSuccess, Status: 200, Reused: true, Part: part(s.Target)}
+			}
+		}
+		id := h.delegatedRequest()
+		b := h.batches[0]
+		order := rapid.Permutation([]int{0, 1, 2, 3, 4, 5}).Draw(rt, "order")
+		// The forwarder merges only its first report.
+		for size := rapid.IntRange(1, shards).Draw(rt, "first_report"); len(order) > 0; size = 1 {
+			h.run(time.Duration(rapid.IntRange(0, 40).Draw(rt, "gap_ms")) * ms)
+			in := BatchReplied{Batch: b.Batch}
+			var parts [][]byte
+			for _, i := range order[:size] {
+				if rapid.Bool().Draw(rt, "failed") {
+					in.Ends = append(in.Ends, BatchEnd{Index: i, End: AttemptEnded{Outcome: OutcomeBroken, Cause: "reset"}})
+					continue
+				}
+				p := part(b.Targets[i])
+				in.Ends, parts = append(in.Ends, succeeded(i, p.Stamp)), append(parts, p.Records)
+			}
+			in.Records, order = greatestRecords(parts, 3), order[size:]
+			h.step(in)
+		}
+		h.step(BatchEnded{Batch: b.Batch, Outcome: OutcomeSuccess})
+		h.run(3 * time.Second)
+		a := h.answers[id]
+		if a.Kind != AnswerGathered {
+			return
+		}
+		var parts [][]byte
+		seen := make(map[string]bool)
+		for _, stamp := range a.Stamps {
+			shardName := stamp[:len("stamp-shard00")]
+			if seen[shardName] {
+				rt.Fatalf("shard %s counts twice", shardName)
+			}
+			seen[shardName] = true
+			parts = append(parts, records[stamp])
+		}
+		if want := greatestRecords(parts, 3); !bytes.Equal(a.Records, want) || len(a.Stamps)+a.Missing != shards {
+			rt.Fatalf("got records %x with %d stamps and %d missing parts, want records %x and %d parts", a.Records, len(a.Stamps), a.Missing, want, shards)
+		}
+		if len(h.g.attempts) != 0 || len(h.g.batches) != 0 || len(h.g.requests) != 0 {
+			rt.Fatalf("%d attempts, %d batches and %d requests are left, want none", len(h.g.attempts), len(h.g.batches), len(h.g.requests))
+		}
+	})
+}
+
+// forwardBatch passes a batch for the first target of each of n shards to the gateway.
+func (h *harness) forwardBatch(n int, reportAfter, deadline time.Duration) RequestID {
+	h.lastRequest++
+	in := BatchArrived{Request: h.lastRequest, Route: "gather", TopK: 3, At: h.now, ReportAfter: reportAfter, Deadline: deadline, Remaining: deadline}
+	for i := range n {
+		in.Targets = append(in.Targets, model.TargetID(string(shard(i))+"-0"))
+	}
+	h.step(in)
+	return h.lastRequest
+}
+
+// reportedEnds returns the outcomes that were reported for a batch, by index.
+func (h *harness) reportedEnds(t *testing.T) map[int]BatchEnd {
+	out := make(map[int]BatchEnd)
+	for _, r := range h.replies {
+		for _, end := range r.Ends {
+			if _, again := out[end.Index]; again {
+				t.Errorf("the end of attempt %d is reported twice", end.Index)
+			}
+			out[end.Index] = end
+		}
+	}
+	return out
+}
+
+// Guards against a forwarder that sends an attempt twice, hedges or retries it, which its
+// sender could not count, and against ends that wait for a straggler.
+func TestForwarderSendsEachAttemptOnceAndReportsInTime(t *testing.T) {
+	h := newHarness(t)
+	h.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	h.targets["shard03-0"] = neverAnswers
+	h.targets["shard04-0"] = endsAfter(30*ms, OutcomeBroken)
+	start := h.now
+	h.forwardBatch(8, 20*ms, time.Second)
+	h.run(25 * ms)
+	if len(h.replies) != 1 || len(h.replies[0].Ends) != 6 || len(h.replies[0].Records) != 3*RecordSize || h.replies[0].Done {
+		t.Fatalf("got replies %+v after %v, want one with 6 ends and the 3 greatest records", h.replies, h.now-start)
+	}
+	h.run(10 * ms)
+	if len(h.replies) != 2 || h.replies[1].Ends[0].End.Outcome != OutcomeBroken {
+		t.Errorf("got %d replies, want a second one with the broken attempt", len(h.replies))
+	}
+	h.run(2 * time.Second)
+	if ends := h.reportedEnds(t); len(ends) != 8 || ends[3].End.Outcome != OutcomeTimedOut || !h.replies[len(h.replies)-1].Done {
+		t.Errorf("got ends %+v, want 8 with attempt 3 timed out, and the last reply done", ends)
+	}
+	if len(h.sent) != 8 || len(h.g.requests) != 0 {
+		t.Errorf("got %d attempts and %d requests left, want 8 attempts and no request", len(h.sent), len(h.g.requests))
+	}
+}
+
+// Guards against a forwarder that uses a server which has left, drains or is unknown to it,
+// and against attempts that it accepts while it stops.
+func TestForwarderRefusesTargetsThatItMustNotUse(t *testing.T) {
+	h := newHarness(t)
+	targets := shardTargets(8)
+	targets[0].State = TargetDraining // shard00-0
+	h.publish(1, slices.Delete(targets, 2, 3), gatherRoute(8, 0.5))
+	h.forwardBatch(8, 20*ms, time.Second)
+	h.run(2 * time.Second)
+	ends := h.reportedEnds(t)
+	for i := range 8 {
+		if want := i < 2; ends[i].Refused != want {
+			t.Errorf("attempt %d: refused is %v, want %v", i, ends[i].Refused, want)
+		}
+	}
+	h.replies = nil
+	h.step(Stop{})
+	sent := len(h.sent)
+	h.forwardBatch(8, 20*ms, time.Second)
+	if ends := h.reportedEnds(t); len(ends) != 8 || !ends[7].Refused || len(h.sent) != sent {
+		t.Errorf("a stopping instance reported %d ends and sent %d attempts, want 8 refusals and none sent", len(ends), len(h.sent)-sent)
+	}
+}
+
+// Guards against attempts that go on at targets after the caller has left: the forwarder
+// cancels them when the sender gives up the batch.
+func TestForwarderCancelsAbandonedBatch(t *testing.T) {
+	h := newHarness(t)
+	h.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	for i := range 8 {
+		h.targets[model.TargetID(string(shard(i))+"-0")] = neverAnswers
+	}
+	id := h.forwardBatch(8, 20*ms, time.Second)
+	h.step(CallerDisconnected{Request: id})
+	if len(h.cancelled) != 8 {
+		t.Errorf("got %d attempts cancelled, want 8", len(h.cancelled))
+	}
+	h.run(10 * ms)
+	if len(h.g.requests) != 0 || len(h.g.attempts) != 0 {
+		t.Errorf("%d requests and %d attempts are left, want none", len(h.g.requests), len(h.g.attempts))
+	}
+}
+
+// Guards against a stop that cuts off a batch without a word: the attempts in flight are
+// reported as ended, so that the sender can retry them, before the instance stops.
+func TestStoppingForwarderReportsItsAttempts(t *testing.T) {
+	h := newHarness(t)
+	h.publish(1, shardTargets(8), gatherRoute(8, 0.5))
+	h.targets["shard03-0"] = neverAnswers
+	h.forwardBatch(8, 20*ms, time.Minute)
+	h.step(Stop{})
+	h.run(h.g.cfg.StopTime)
+	if ends := h.reportedEnds(t); len(ends) != 8 || ends[3].End.Outcome != OutcomeTimedOut || !h.replies[len(h.replies)-1].Done || !h.stopped {
+		t.Errorf("got %d ends, stopped %v, want all 8 with attempt 3 timed out, the last reply done, and the instance stopped", len(ends), h.stopped)
+	}
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -63,7 +63,10 @@
 
 	requests map[RequestID]*request
 	attempts map[AttemptID]*attempt
-	lastID   AttemptID
+	batches  map[AttemptID]*batch // by ID
+	// collecting are the requests with attempts that are sent at the end of the tick.
+	collecting []*request
+	lastID     AttemptID
 
 	members members
 	source  source
@@ -85,6 +88,7 @@
 		roundTrips:  make(map[model.PlaceID]time.Duration),
 		requests:    make(map[RequestID]*request),
 		attempts:    make(map[AttemptID]*attempt),
+		batches:     make(map[AttemptID]*batch),
 		ready:       ReadinessChanged{Reason: "no configuration is known yet"},
 	}
 	g.members.byName = make(map[model.InstanceID]*member)
@@ -113,6 +117,7 @@
 		t := heap.Pop(&g.timers).(timer)
 		t.fire()
 	}
+	g.sendAllCollected()
 	g.updateReady()
 	return g.out
 }
@@ -142,6 +147,12 @@
 		g.callerDisconnected(in.Request)
 	case AttemptEnded:
 		g.attemptEnded(in)
+	case BatchArrived:
+		g.batchArrived(in)
+	case BatchReplied:
+		g.batchReplied(in)
+	case BatchEnded:
+		g.batchEnded(in)
 	case ConfigurationRead:
 		g.adopt(in.Configuration)
 	case StoreRead:
--- a/core/gateway/harness_test.go
+++ b/core/gateway/harness_test.go
@@ -28,6 +28,8 @@
 	sent        []SendAttempt
 	sentAt      []time.Duration // time at which each attempt in sent was sent
 	delegated   []Delegate
+	batches     []SendBatch
+	replies     []ReplyBatch
 	cancelled   []AttemptID
 	answers     map[RequestID]Answer
 	answeredAt  map[RequestID]time.Duration
@@ -87,6 +89,10 @@
 		after, ended := behaviour(out)
 		ended.Attempt = out.Attempt
 		h.due = append(h.due, dueInput{min(h.now+after, out.Deadline), ended})
+	case SendBatch:
+		h.batches = append(h.batches, out)
+	case ReplyBatch:
+		h.replies = append(h.replies, out)
 	case Delegate:
 		h.delegated = append(h.delegated, out)
 	case CancelAttempt:
--- a/core/gateway/hedge.go
+++ b/core/gateway/hedge.go
@@ -12,7 +12,7 @@
 func (g *Gateway) scheduleHedge(a *attempt) {
 	r, i, t := a.request, a.part, a.target
 	p := &r.parts[i]
-	if p.runs+p.inFlight >= r.maxAttempts() {
+	if p.runs+len(p.inFlight) >= r.maxAttempts() {
 		return
 	}
 	delay := g.hedgeDelay(r, p, t)
@@ -47,8 +47,8 @@
 func (g *Gateway) hedge(a *attempt) {
 	r, i := a.request, a.part
 	p := &r.parts[i]
-	if g.attempts[a.id] == nil || r.ended || p.state != partOpen || p.inFlight != 1 ||
-		p.runs+p.inFlight >= r.maxAttempts() || r.deadline-g.now < minAttemptTime {
+	if g.attempts[a.id] == nil || r.ended || p.state != partOpen || len(p.inFlight) != 1 ||
+		p.runs+len(p.inFlight) >= r.maxAttempts() || r.deadline-g.now < minAttemptTime {
 		return
 	}
 	t, _ := g.chooseTarget(r, p)
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -116,6 +116,9 @@
 	// the connection took, 0 if none was opened.
 	Reused  bool
 	Connect time.Duration
+	// Took is the time from the sending of the attempt to its end if another instance
+	// forwarded it, else 0.
+	Took time.Duration
 	// Cause describes a failure for the log.
 	Cause string
 }
@@ -137,6 +140,44 @@
 	Records []byte
 }
 
+// BatchArrived reports attempts that another instance passed on to be sent from here.
+type BatchArrived struct {
+	Request RequestID
+	Targets []model.TargetID
+	// Route is the name of the route, TopK the maximum number of records in a reply.
+	Route string
+	TopK  int
+	// At is the time at which the batch was read, on the Boot clock. The other times count
+	// from then on: until ends are reported although others are missing, until the latest
+	// end of the attempts, and until the caller stops waiting.
+	At, ReportAfter, Deadline, Remaining time.Duration
+}
+
+// BatchEnd is the end of one attempt of a batch.
+type BatchEnd struct {
+	Index int // of the attempt in the batch
+	// Refused means that the forwarder did not send the attempt, and that End is not set.
+	Refused bool
+	// End has no records; the records of all successful attempts of a reply are merged.
+	End AttemptEnded
+}
+
+// BatchReplied reports the ends of some attempts of a SendBatch.
+type BatchReplied struct {
+	Batch AttemptID
+	Ends  []BatchEnd
+	// Records are the greatest records of the successful attempts in Ends.
+	Records []byte
+}
+
+// BatchEnded reports the end of a SendBatch. Exactly one follows each SendBatch, after all
+// BatchReplied. Outcome tells whether attempts without a reported end may have run.
+type BatchEnded struct {
+	Batch   AttemptID
+	Outcome Outcome
+	Cause   string
+}
+
 // ConfigurationRead carries a configuration that passed Check.
 type ConfigurationRead struct{ Configuration *Configuration }
 
@@ -178,6 +219,9 @@
 func (Arrived) isInput()            {}
 func (CallerDisconnected) isInput() {}
 func (AttemptEnded) isInput()       {}
+func (BatchArrived) isInput()       {}
+func (BatchReplied) isInput()       {}
+func (BatchEnded) isInput()         {}
 func (ConfigurationRead) isInput()  {}
 func (StoreRead) isInput()          {}
 func (StoreAnswered) isInput()      {}
--- a/core/gateway/lifecycle.go
+++ b/core/gateway/lifecycle.go
@@ -55,7 +55,11 @@
 // completes the stop.
 func (g *Gateway) stopTimedOut() {
 	for _, id := range sortedKeys(g.requests) {
-		if r := g.requests[id]; !r.ended {
+		switch r := g.requests[id]; {
+		case r.ended:
+		case r.forward != nil:
+			g.stopForwarding(r)
+		default:
 			g.failRequest(r, "the instance stops")
 		}
 	}
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -170,6 +170,14 @@
 	delegateProbeShare = 0.5
 	delegateProbeGap   = 40 * time.Millisecond
 
+	// minReportDelay and reportMargin bound when a forwarder reports the attempts that have
+	// ended: at the earliest, and before the first hedge would be sent.
+	minReportDelay = 5 * time.Millisecond
+	reportMargin   = 3 * time.Millisecond
+	// silentForwarderMargin is how long after the expected report a forwarder counts as
+	// slow: longer than a small instance is without its processor share.
+	silentForwarderMargin = 100 * time.Millisecond
+
 	// gossipInterval is the time between two rounds of state messages. Each message
 	// has about 700 bytes and is answered, so an instance has about 3 KB/s of control
 	// traffic in a fleet of any size.
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -50,6 +50,10 @@
 	directAt, answeredAt time.Duration
 	// delegated counts the requests that the member gathers for this instance now.
 	delegated int
+	// forwarding counts the batches that the member forwards for this instance now. It
+	// gets none before noForwardUntil.
+	forwarding     int
+	noForwardUntil time.Duration
 	// No request is delegated to the member before avoidUntil after it failed to
 	// gather, nor before behindUntil after it showed an older configuration.
 	avoidUntil, behindUntil time.Duration
--- a/core/gateway/merge.go
+++ b/core/gateway/merge.go
@@ -13,7 +13,7 @@
 // far.
 func (g *Gateway) answerGathered(r *request) {
 	out := Answer{Kind: AnswerGathered, Missing: len(r.parts) - r.answeredParts}
-	parts := make([][]byte, 0, r.answeredParts)
+	parts := slices.Clone(r.mergedRecords)
 	for i := range r.parts {
 		if p := &r.parts[i]; p.state == partAnswered {
 			out.Stamps = append(out.Stamps, p.answer.Stamp)
--- a/core/gateway/output.go
+++ b/core/gateway/output.go
@@ -36,6 +36,32 @@
 	Configuration                       uint64
 }
 
+// SendBatch sends attempts of a gathering request through another instance. Any number of
+// BatchReplied follow, and then exactly one BatchEnded.
+type SendBatch struct {
+	Batch   AttemptID // also cancels the whole batch in a CancelAttempt
+	Request RequestID
+	To      string
+	Targets []model.TargetID
+	// Route is the name of the route, TopK the maximum number of records in a reply.
+	Route string
+	TopK  int
+	// ReportAfter is how long after the arrival the instance reports the attempts that
+	// have ended although others have not.
+	ReportAfter time.Duration
+	// Deadline and CallerDeadline are on the Boot clock, as in SendAttempt.
+	Deadline, CallerDeadline time.Duration
+}
+
+// ReplyBatch reports ends of attempts to the instance that sent the batch. Done is set in
+// the last one.
+type ReplyBatch struct {
+	Request RequestID
+	Ends    []BatchEnd
+	Records []byte
+	Done    bool
+}
+
 // FollowStore selects the source of the store's changes: the store itself or
 // another instance.
 type FollowStore struct {
@@ -154,6 +180,8 @@
 
 func (SendAttempt) isOutput()          {}
 func (Delegate) isOutput()             {}
+func (SendBatch) isOutput()            {}
+func (ReplyBatch) isOutput()           {}
 func (FollowStore) isOutput()          {}
 func (CancelAttempt) isOutput()        {}
 func (OpenConnection) isOutput()       {}
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -40,6 +40,16 @@
 	// delegateAttempt is the pending attempt at the last of them, or nil.
 	gatherersAsked  []model.InstanceID
 	delegateAttempt *attempt
+	// collected holds the attempts in other data centres, by data centre, until the end of
+	// the tick. firstBatchesSent is set once the first ones have been sent.
+	collected        map[model.PlaceID][]*attempt
+	firstBatchesSent bool
+	// batches are those in flight. mergedRecords are the records of replies with several
+	// parts; these parts have no records of their own.
+	batches       []*batch
+	mergedRecords [][]byte
+	// forward is set if the request is a batch that another instance sent.
+	forward *forwarding
 }
 
 // part is the share of a request that one service answers.
@@ -48,7 +58,7 @@
 	state   partState
 	// tried are the targets to which the part was sent.
 	tried    []model.TargetID
-	inFlight int
+	inFlight []*attempt
 	// arrivals counts the ended attempts that reached a target, runs the ended attempts
 	// that a target may have run.
 	arrivals, runs int
@@ -63,6 +73,10 @@
 	partFailed
 )
 
+func (p *part) removeAttempt(a *attempt) {
+	p.inFlight = slices.DeleteFunc(p.inFlight, func(other *attempt) bool { return other == a })
+}
+
 func (p *part) triedTarget(t *target) bool { return slices.Contains(p.tried, t.ID) }
 
 // attempt is a row of the table of attempts.
@@ -73,7 +87,11 @@
 	target  *target
 	// gatherer is set instead of part and target if the request is delegated.
 	gatherer *member
-	sentAt   time.Duration
+	// batch is set while the attempt is in flight at a forwarder. lostWithForwarder is set
+	// if the forwarder failed before it reported the end.
+	batch             *batch
+	lostWithForwarder bool
+	sentAt            time.Duration
 }
 
 // requestArrived admits a request or answers it at once.
@@ -200,17 +218,18 @@
 	a := &attempt{id: g.lastID, request: r, part: i, target: t, sentAt: g.now}
 	g.attempts[a.id] = a
 	t.inFlight = append(t.inFlight, a)
-	if t.coldUntil > g.now {
+	if t.coldUntil > g.now && r.forward == nil { // the sender of a batch counts its requests
 		t.coldRequests.add(g.now)
 	}
 	p.tried = append(p.tried, t.ID)
-	p.inFlight++
+	p.inFlight = append(p.inFlight, a)
 	r.pendingAttempts++
 	r.attemptsSent++
 	g.recordSend(r, p, t)
-	g.emit(SendAttempt{Attempt: a.id, Request: r.id, Target: t.ID, Service: t.Service, Address: t.Address,
-		Deadline: r.deadline, CallerDeadline: r.callerDeadline, Gather: len(r.route.Shards) > 0})
-	if r.route.Idempotent {
+	if !g.collectAttempt(a) {
+		g.sendDirectly(a)
+	}
+	if r.route.Idempotent && r.forward == nil {
 		g.scheduleHedge(a)
 	}
 }
@@ -222,15 +241,24 @@
 	if a == nil {
 		return
 	}
-	delete(g.attempts, in.Attempt)
 	if a.gatherer != nil {
+		delete(g.attempts, in.Attempt)
 		g.delegateEnded(a, in)
 		return
 	}
 	g.learnRoundTrip(a.target.Place, in.Connect)
+	g.attemptSettled(a, in)
+	g.removeIfDone(a.request)
+	g.dispatch(a.request.parts[a.part].service)
+}
+
+// attemptSettled updates the target, the part and the request of an attempt at a target
+// that has ended.
+func (g *Gateway) attemptSettled(a *attempt, in AttemptEnded) {
+	delete(g.attempts, a.id)
 	g.observe(a, in)
 	r, p := a.request, &a.request.parts[a.part]
-	p.inFlight--
+	p.removeAttempt(a)
 	r.pendingAttempts--
 	if in.Outcome.reachedTarget() {
 		p.arrivals++
@@ -239,11 +267,14 @@
 		p.runs++
 		r.mayHaveRun = true
 	}
-	if !r.ended && p.state == partOpen {
+	switch {
+	case r.ended:
+	case r.forward != nil:
+		in.Took = g.now - a.sentAt
+		g.forwardedEnded(r, BatchEnd{Index: a.part, End: in})
+	case p.state == partOpen:
 		g.openPartAttemptEnded(r, a, in)
 	}
-	g.removeIfDone(r)
-	g.dispatch(p.service)
 }
 
 // openPartAttemptEnded handles the end of an attempt of a part that is still open.
@@ -266,7 +297,7 @@
 		g.answer(r, Answer{Kind: AnswerTarget, Attempt: a.id})
 		return
 	}
-	if p.inFlight > 0 {
+	if len(p.inFlight) > 0 {
 		return // a hedge is under way
 	}
 	g.retry(r, a.part)
@@ -411,8 +442,7 @@
 	g.removeIfDone(r)
 }
 
-// cancel cancels the attempts in flight of a request, except those at targets that
-// have been removed.
+// cancel cancels the attempts in flight of a request.
 func (g *Gateway) cancel(r *request) {
 	if r.pendingAttempts == 0 {
 		return
@@ -420,12 +450,13 @@
 	if r.delegateAttempt != nil {
 		g.emit(CancelAttempt{Attempt: r.delegateAttempt.id})
 	}
+	for _, b := range r.batches {
+		g.emit(CancelAttempt{Attempt: b.id})
+	}
 	for i := range r.parts {
-		for _, t := range r.parts[i].service.targets {
-			for _, a := range t.inFlight {
-				if a.request == r {
-					g.emit(CancelAttempt{Attempt: a.id})
-				}
+		for _, a := range r.parts[i].inFlight {
+			if a.batch == nil {
+				g.emit(CancelAttempt{Attempt: a.id})
 			}
 		}
 	}
--- a/core/gateway/steps.go
+++ b/core/gateway/steps.go
@@ -38,7 +38,7 @@
 func (g *Gateway) recordSend(r *request, p *part, t *target) {
 	action := "sent"
 	switch {
-	case len(p.tried) > 1 && p.inFlight > 1:
+	case len(p.tried) > 1 && len(p.inFlight) > 1:
 		action = "hedged"
 	case len(p.tried) > 1:
 		action = "retried"
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -221,12 +221,13 @@
 	if !g.hasGatherCapacity(g.cfg.Capacity) || (s.limits.MaxConnections > 0 && 2*g.sendingInstances(s) > s.limits.MaxConnections) {
 		return false
 	}
-	for _, other := range s.targets {
-		if other.Place == g.cfg.Place {
-			return true
-		}
+	if t.Place == g.cfg.Place {
+		return true
+	}
+	if s.shard && g.hasForwarder(t.Place) {
+		return false
 	}
-	return t.Place == g.cfg.Place
+	return slices.ContainsFunc(s.targets, func(other *target) bool { return other.Place == g.cfg.Place })
 }
 
 // entryRemoved handles the removal of a target's entry. During an outage of the store
@@ -285,6 +286,9 @@
 func (g *Gateway) observe(a *attempt, in AttemptEnded) {
 	t := a.target
 	t.removeAttempt(a)
+	if a.lostWithForwarder {
+		return
+	}
 	if in.HasLoad {
 		t.load, t.loadAt = in.Load, g.now
 	}
@@ -293,7 +297,7 @@
 	}
 	switch in.Outcome {
 	case OutcomeSuccess:
-		g.observeLatency(a, in.Reused)
+		g.observeLatency(a, in)
 		t.recordAnswer()
 		t.recordFailure(g.now, 0)
 	case OutcomeFailure:
@@ -325,11 +329,14 @@
 
 // observeLatency updates the latencies of the route and the slowness of the target
 // from a successful answer. It ignores an attempt that had to open a connection.
-func (g *Gateway) observeLatency(a *attempt, reused bool) {
-	if !reused {
+func (g *Gateway) observeLatency(a *attempt, in AttemptEnded) {
+	if !in.Reused {
 		return
 	}
-	took := max(0, g.now-a.sentAt-g.roundTrip(a.target.Place))
+	took := in.Took
+	if took == 0 {
+		took = max(0, g.now-a.sentAt-g.roundTrip(a.target.Place))
+	}
 	h := g.routeLatency(a.request.route.Name)
 	typical := h.quantile(0.5, defaultServiceTime)
 	h.add(took)
--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -51,6 +51,9 @@
 	// delegated is set if another instance delegated the request.
 	delegated bool
 	answered  chan gateway.Answer // receives the core's answer
+	// forwarded receives the ends of a batch that another instance sent; it is nil for
+	// other requests.
+	forwarded chan gateway.ReplyBatch
 
 	mu      sync.Mutex // guards replies
 	replies map[gateway.AttemptID]*reply
@@ -164,9 +167,7 @@
 func (s *callerServer) handle(ctx context.Context, req *callerRequest, parent string, arrived gateway.Arrived) (gateway.Answer, bool) {
 	var endSpan func(failure string)
 	req.traceparent, endSpan = s.spans.StartRequest(parent, req.caller.AttemptID, req.delegated)
-	s.mu.Lock()
-	s.requests[req.id] = req
-	s.mu.Unlock()
+	s.add(req)
 	defer s.remove(req.id)
 	arrived.Request = req.id
 	arrived.At, arrived.Remaining = s.bootTime(), req.caller.Remaining
@@ -186,6 +187,12 @@
 	}
 }
 
+func (s *callerServer) add(req *callerRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests[req.id] = req
+}
+
 func (s *callerServer) remove(id gateway.RequestID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -281,6 +281,12 @@
 		d.state.send(out)
 	case gateway.Delegate:
 		d.delegate(out)
+	case gateway.SendBatch:
+		d.sendBatch(out)
+	case gateway.ReplyBatch:
+		if req := d.callers.request(out.Request); req != nil {
+			req.forwarded <- out
+		}
 	case gateway.FollowStore:
 		d.followStore(out)
 	case gateway.FetchState:
--- /dev/null
+++ b/node/gateway/forward_codec_test.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"galenadyke.dev/core/gateway"
+)
+
+// Guards against fields of a reply that are lost on the way between instances.
+func TestForwardReplyIsDecodedAsItWasEncoded(t *testing.T) {
+	ends := []gateway.BatchEnd{
+		{Index: 2, Refused: true},
+		{Index: 0, End: gateway.AttemptEnded{Outcome: gateway.OutcomeSuccess, Status: 200, Part: gateway.Part{Stamp: "stamp"}, Took: time.Millisecond,
+			Reused: true, Load: gateway.Load{Running: 1, Waiting: 2, Slots: 3}, HasLoad: true}},
+		{Index: 1, End: gateway.AttemptEnded{Outcome: gateway.OutcomeBroken, Took: time.Second, Cause: "reset", HasCold: true}},
+	}
+	want := gateway.BatchReplied{Batch: 7, Ends: ends, Records: []byte("0123456789abcdef")}
+	got := decodeForwardReply(7, encodeForwardReply(gateway.ReplyBatch{Ends: ends, Records: want.Records, Done: true}))
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("decoded reply (-want +got):\n%s", diff)
+	}
+}
--- a/node/telemetry/gateway.go
+++ b/node/telemetry/gateway.go
@@ -26,6 +26,7 @@
 	{"gateway_attempts", "requests", "Completed requests to targets, by outcome."},
 	{"gateway_service_attempts", "requests", "Completed requests to targets, by service and outcome."},
 	{"gateway_delegated", "requests", "Completed delegations of requests to another instance, by outcome."},
+	{"gateway_forwarded", "batches", "Completed batches of attempts that another instance forwarded to targets, by outcome."},
 	{"gateway_connections_opened", "connections", "Connections opened to targets."},
 	{"gateway_callers_left", "requests", "Requests whose caller closed its connection before the answer."},
 	{"gateway_unread", "requests", "Requests from callers that could not be read, by cause."},
@@ -74,7 +75,7 @@
 type GatewayMetrics struct {
 	root                                                               expvar.Map
 	answers, routeAnswers, attempts, events                            *expvar.Map
-	unread, delegated, serviceAttempts                                 *expvar.Map
+	unread, delegated, forwarded, serviceAttempts                      *expvar.Map
 	attemptsSent, connectionsOpened, callersLeft, logDropped, notReady *expvar.Int
 
 	mu        sync.Mutex                         // guards the fields below
@@ -113,7 +114,7 @@
 	}
 	m.answers, m.routeAnswers = newMap("gateway_answers"), newMap("gateway_route_answers")
 	m.attempts, m.events, m.unread = newMap("gateway_attempts"), newMap("gateway_events"), newMap("gateway_unread")
-	m.delegated, m.serviceAttempts = newMap("gateway_delegated"), newMap("gateway_service_attempts")
+	m.delegated, m.forwarded, m.serviceAttempts = newMap("gateway_delegated"), newMap("gateway_forwarded"), newMap("gateway_service_attempts")
 	m.attemptsSent, m.connectionsOpened = newInt("gateway_attempts_sent"), newInt("gateway_connections_opened")
 	m.callersLeft, m.logDropped, m.notReady = newInt("gateway_callers_left"), newInt("log_lines_dropped"), newInt("gateway_not_ready")
 	m.root.Set("gateway_route_latency_ms", expvar.Func(func() any { return m.latencyQuantiles() }))
@@ -213,6 +214,9 @@
 // Delegated counts a completed delegation of a request to another instance, by outcome.
 func (m *GatewayMetrics) Delegated(o gateway.Outcome) { m.delegated.Add(o.String(), 1) }
 
+// Forwarded counts a completed batch of attempts sent through another instance, by outcome.
+func (m *GatewayMetrics) Forwarded(o gateway.Outcome) { m.forwarded.Add(o.String(), 1) }
+
 // CallerDisconnected counts a caller that closed its connection before the answer.
 func (m *GatewayMetrics) CallerDisconnected() { m.callersLeft.Add(1) }
 
--- a/node/telemetry/gatewayspans.go
+++ b/node/telemetry/gatewayspans.go
@@ -43,6 +43,15 @@
 	return s.startHop(parent, "delegate", attribute.String("instance", out.To))
 }
 
+// StartForwarding starts the span of a batch that a gateway sends through another
+// instance. Without an exporter, the returned traceparent is empty.
+func (s *Spans) StartForwarding(parent string, out gateway.SendBatch) (traceparent string, end func(gateway.Outcome)) {
+	if s.provider == nil {
+		return "", ignoreOutcome
+	}
+	return s.startHop(parent, "forward", attribute.String("instance", out.To), attribute.Int("attempts", len(out.Targets)))
+}
+
 func ignoreOutcome(gateway.Outcome) {}
 
 // startHop starts the span of a request to a target or another instance.
