core/gateway: work at a silent gathering instance continues for 0.5 s

Cause: a machine that was only silent for a while had its work given up.

Change: an instance that does not answer probes for 80 ms gets no new requests, as before, but its requests continue. Each fails by itself after 0.5 s of unanswered probes, or when half of its caller's time is over, whichever comes first. Probes go on, one each 40 ms for an instance, until it answers.

--- a/core/gateway/gatherers.go
+++ b/core/gateway/gatherers.go
@@ -213,42 +213,44 @@
 // costs a round trip, which is less than connections to all shards.
 const maxGatherersAsked = 4
 
-// probeGatherer probes a gathering instance that has not answered yet with two state
-// messages. If no message comes back, the requests delegated to the instance fail
-// while their callers can still retry, and the instance is avoided for a while. An
-// instance that is avoided already, or that has just sent a message, is not probed.
+// probeGatherer watches an instance whose gathered answer is overdue. It probes the instance
+// with state messages until it answers one, as datagrams get lost. An instance that does not
+// answer for gathererSilentAfter gets no new requests for a while. It may only be busy,
+// so its requests continue, and fail after the longer giveUpGathererAfter.
 func (g *Gateway) probeGatherer(a *attempt) {
 	m := a.gatherer
-	if g.attempts[a.id] == nil || g.now < m.avoidUntil || g.now-m.directAt < delegateProbeGap {
+	if g.attempts[a.id] == nil || a.request.ended {
 		return
 	}
-	probedAt := g.now
-	probe := func() {
-		if m.directAt < probedAt {
-			g.emit(SendState{To: m.Address, State: g.stateMessage(true)})
+	if g.now-max(m.directAt, m.probedAt) >= delegateProbeGap {
+		if m.directAt >= m.silentSince {
+			m.silentSince = g.now
 		}
+		m.probedAt = g.now
+		g.emit(SendState{To: m.Address, State: g.stateMessage(true)})
 	}
-	probe()
-	g.after(delegateProbeGap, probe)
-	g.after(2*delegateProbeGap, func() {
-		if m.directAt < probedAt && g.members.byName[m.Name] == m {
-			g.abandonGatherer(m)
+	if m.silentSince > m.directAt {
+		silence := g.now - m.silentSince
+		if silence >= gathererSilentAfter && m.avoidUntil <= g.now {
+			m.avoidUntil = g.now + gathererAvoidTime
+			g.emit(Event{Name: "GathererSilent", Subject: string(m.Name), Before: "asked", After: "silent", Warning: true})
 		}
-	})
-}
-
-// abandonGatherer fails all requests that were delegated to an unresponsive instance.
-func (g *Gateway) abandonGatherer(m *member) {
-	m.avoidUntil = g.now + gathererAvoidTime
-	g.emit(Event{Name: "GathererSilent", Subject: string(m.Name), Before: "asked", After: "silent", Warning: true})
-	for _, id := range sortedKeys(g.attempts) {
-		if a := g.attempts[id]; a != nil && a.gatherer == m && !a.request.ended {
-			a.request.mayHaveRun = true
-			g.recordStep(a.request, "silent", string(m.Name), "no message for %d ms, probed twice", (g.now-m.directAt)/time.Millisecond)
-			g.failRequest(a.request, "the gathering instance "+string(m.Name)+" is silent")
-			g.emit(CancelAttempt{Attempt: id})
+		if silence >= giveUpGathererAfter || silence >= gathererSilentAfter && g.now-a.sentAt >= a.request.deadline-g.now {
+			g.giveUpGatherer(a)
+			return
 		}
 	}
+	g.after(delegateProbeGap, func() { g.probeGatherer(a) })
+}
+
+// giveUpGatherer fails a request that was delegated to an instance that is silent, while
+// the caller still has time for a retry.
+func (g *Gateway) giveUpGatherer(a *attempt) {
+	m := a.gatherer
+	a.request.mayHaveRun = true
+	g.recordStep(a.request, "silent", string(m.Name), "no message for %d ms, %d ms of it probed", (g.now-m.directAt)/time.Millisecond, (g.now-m.silentSince)/time.Millisecond)
+	g.failRequest(a.request, "the gathering instance "+string(m.Name)+" is silent")
+	g.emit(CancelAttempt{Attempt: a.id})
 }
 
 // sendingInstances returns the number of instances that send to the targets of a
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -165,10 +165,14 @@
 	// is not asked. A configuration passes from one instance to the next in less time.
 	behindRetryDelay = 200 * time.Millisecond
 	// delegateProbeShare is the share of the time until the latency objective after
-	// which a gathering instance that has not answered is probed. It is probed twice,
-	// delegateProbeGap apart, as datagrams get lost.
+	// which a gathering instance that has not answered is probed, every delegateProbeGap.
 	delegateProbeShare = 0.5
 	delegateProbeGap   = 40 * time.Millisecond
+	// gathererSilentAfter and giveUpGathererAfter are the times without an answer to a
+	// probe after which an instance gets no new requests, and after which its requests
+	// fail. A small instance that is busy with its first answers is silent for up to 0.3 s.
+	gathererSilentAfter = 2 * delegateProbeGap
+	giveUpGathererAfter = 500 * time.Millisecond
 
 	// minReportDelay and reportMargin bound when a forwarder reports the attempts that have
 	// ended: at the earliest, and before the first hedge would be sent.
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -54,6 +54,9 @@
 	// gets none before noForwardUntil.
 	forwarding     int
 	noForwardUntil time.Duration
+	// probedAt is the time of the last probe, silentSince that of the first probe since the
+	// last message from the member itself.
+	probedAt, silentSince time.Duration
 	// No request is delegated to the member before avoidUntil after it failed to
 	// gather, nor before behindUntil after it showed an older configuration.
 	avoidUntil, behindUntil time.Duration
