node/gateway, platform: bounds on what is read from servers, callers and the store

Cause: http.ReadResponse reads heads of any size. Informational answers without end kept an attempt busy until its deadline. A body over its limit was read on until the deadline, since closing a chunked body reads the rest. The limit of 16 MiB was that of one attempt, and an announced length was allocated before a byte had come. A caller's body could arrive for ever.

Change: node/gateway/bounds.go holds the bounds of the package. All bodies in progress share a budget of a quarter of memory_mb; a read that exceeds it ends the largest read in progress. What exceeds a bound is closed at once and counts as a broken answer, with a log line (AnswerOverBound) and a counter (gateway_over_bound). A caller's body has 30 s, then 408; without memory for it, 503. State messages over 1,400 bytes are refused with an error that says so.

--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -5,9 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,16 +20,6 @@
 	"galenadyke.dev/node/telemetry"
 )
 
-const (
-	// headTimeout bounds the time for the head (request line and headers) of a caller's
-	// request. It exceeds the published bound of a few seconds, which may change while the
-	// server runs, whereas the bound of net/http can't.
-	headTimeout = 30 * time.Second
-	// maxHeadBytes bounds the head of a request that net/http reads, before the
-	// published limit is checked. It is the default of net/http.
-	maxHeadBytes = http.DefaultMaxHeaderBytes
-)
-
 // defaultLimits applies until a configuration is known. The idle timeout is longer than
 // callers keep idle connections.
 var defaultLimits = gateway.CallerLimits{MaxHeaderBytes: 64 << 10, MaxBodyBytes: 1 << 20, IdleTimeout: 2 * time.Minute}
@@ -55,21 +45,44 @@
 	// other requests.
 	forwarded chan gateway.ReplyBatch
 
-	mu      sync.Mutex // guards replies
+	mu      sync.Mutex // guards the fields below
 	replies map[gateway.AttemptID]*reply
+	// holds are the memory of the request's own body and of the answers to its attempts.
+	// released is set once they have been given back.
+	holds    []*bodyHold
+	released bool
 }
 
-// storeReply keeps a target's answer to an attempt. The core may choose it as the answer to
-// the caller.
-func (r *callerRequest) storeReply(id gateway.AttemptID, rep *reply) {
+// keepReply keeps the memory of a target's answer to an attempt until release and, if whole
+// is set, the answer itself: the core may choose it as the answer to the caller.
+func (r *callerRequest) keepReply(id gateway.AttemptID, rep *reply, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.released {
+		rep.hold.release()
+		return
+	}
+	r.holds = append(r.holds, rep.hold)
+	if !whole {
+		return
+	}
 	if r.replies == nil {
 		r.replies = make(map[gateway.AttemptID]*reply, 1)
 	}
 	r.replies[id] = rep
 }
 
+// release gives back the memory of all bodies once the request has been answered.
+func (r *callerRequest) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.released = true
+	for _, h := range r.holds {
+		h.release()
+	}
+	r.holds = nil
+}
+
 func (r *callerRequest) reply(id gateway.AttemptID) *reply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -87,14 +100,15 @@
 	http     *khttp.Server
 	limits   atomic.Pointer[gateway.CallerLimits]
 	idle     *idleConnections
+	bodies   *bodyBudget
 	lastID   atomic.Uint64
 
 	mu       sync.Mutex // guards requests; held for map operations only
 	requests map[gateway.RequestID]*callerRequest
 }
 
-func newCallerServer(l net.Listener, p Protocol, submit func(gateway.Input) bool, bootTime func() time.Duration, m Metrics, spans *telemetry.Spans) *callerServer {
-	s := &callerServer{protocol: p, submit: submit, bootTime: bootTime, metrics: m, spans: spans, requests: make(map[gateway.RequestID]*callerRequest)}
+func newCallerServer(l net.Listener, p Protocol, submit func(gateway.Input) bool, bootTime func() time.Duration, bodies *bodyBudget, m Metrics, spans *telemetry.Spans) *callerServer {
+	s := &callerServer{protocol: p, submit: submit, bootTime: bootTime, bodies: bodies, metrics: m, spans: spans, requests: make(map[gateway.RequestID]*callerRequest)}
 	limits := defaultLimits
 	s.limits.Store(&limits)
 	s.idle = newIdleConnections(func() time.Duration { return s.limits.Load().IdleTimeout })
@@ -128,8 +142,8 @@
 		khttp.Timeout(0), // each request has its own deadline
 		khttp.Filter(func(http.Handler) http.Handler { return h }),
 	)
-	s.ReadHeaderTimeout = headTimeout
-	s.MaxHeaderBytes = maxHeadBytes
+	s.ReadHeaderTimeout = callerHeadTimeout
+	s.MaxHeaderBytes = maxCallerHeadBytes
 	s.DisableGeneralOptionsHandler = true
 	return s
 }
@@ -141,6 +155,7 @@
 		s.refuseUnread(w, r, err)
 		return
 	}
+	defer req.release()
 	started := s.bootTime()
 	a, ok := s.handle(r.Context(), req, r.Header.Get(traceparentHeader), gateway.Arrived{Host: req.host, Path: req.path})
 	if !ok {
@@ -243,8 +258,7 @@
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
 	if r.ContentLength != 0 {
-		var err error
-		if req.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit)); err != nil {
+		if err := s.readCallerBody(w, r, req, limit); err != nil {
 			return nil, err
 		}
 	}
@@ -261,6 +275,23 @@
 	return req, nil
 }
 
+// readCallerBody reads the body of a request. It is bounded in bytes, in time, and by the
+// memory for all bodies in progress.
+func (s *callerServer) readCallerBody(w http.ResponseWriter, r *http.Request, req *callerRequest, limit int64) error {
+	control := http.NewResponseController(w)
+	// Fails only if the connection has no deadlines, as in tests without a connection.
+	_ = control.SetReadDeadline(time.Now().Add(callerBodyTimeout))
+	hold := s.bodies.hold(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	body, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, hold)
+	if err != nil {
+		hold.release()
+		return err
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	req.body, req.holds = body, append(req.holds, hold)
+	return nil
+}
+
 // setsHeader reports whether the instance itself sets a header of the requests to targets,
 // so that the caller's value is not forwarded.
 func (s *callerServer) setsHeader(canonicalName string) bool {
@@ -297,6 +328,20 @@
 		http.Error(w, head.Error(), http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
+	var over *boundError
+	if errors.As(err, &over) && over.bound == boundMemory {
+		s.metrics.RequestUnread("no_memory")
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "the instance has no memory for the body; send it again later", http.StatusServiceUnavailable)
+		return
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.metrics.RequestUnread("too_slow")
+		w.Header().Set("Connection", "close")
+		http.Error(w, fmt.Sprintf("the body did not arrive within %v", callerBodyTimeout), http.StatusRequestTimeout)
+		return
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		s.metrics.RequestUnread("too_large")
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -79,6 +79,7 @@
 	loop          *driver.Loop[gateway.Input, gateway.Output]
 	callers       *callerServer
 	upstream      *upstream
+	bodies        *bodyBudget
 	state         *stateLink
 	store         Store
 	peerServer    *grpc.Server
@@ -182,7 +183,8 @@
 		return fmt.Errorf("peer_listen: %w; use a port that is free for TCP and UDP", err)
 	}
 	submit := d.loop.Submit
-	d.callers = newCallerServer(listeners[0], p.Protocol, submit, d.clock.Boot, d.metrics, d.spans)
+	d.bodies = newBodyBudget(s.MemoryMB)
+	d.callers = newCallerServer(listeners[0], p.Protocol, submit, d.clock.Boot, d.bodies, d.metrics, d.spans)
 	d.readyServer = newServer(listeners[1], http.HandlerFunc(d.serveReady))
 	d.controlServer = newServer(listeners[2], http.HandlerFunc(d.serveControl))
 	d.servers = map[string]*khttp.Server{"callers": d.callers.http, "balancer": d.readyServer, "control": d.controlServer}
@@ -190,7 +192,8 @@
 		d.servers["metrics"] = newServer(listeners[4], http.HandlerFunc(d.serveControl))
 	}
 	d.peerListener = listeners[3]
-	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), bootTime: d.clock.Boot}
+	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), bodies: d.bodies, bootTime: d.clock.Boot,
+		overBound: d.answerOverBound}
 	d.state = &stateLink{socket: socket, submit: submit, log: d.log}
 	d.store = p.OpenStore(s.Store, submit, d.log)
 	d.peerServer = newPeerServer(&peerServer{store: d.store, callers: d.callers})
@@ -319,8 +322,8 @@
 	go func() {
 		ended, rep := d.upstream.do(a)
 		d.removeCancel(out.Attempt)
-		if rep != nil && (!out.Gather || ended.Outcome != gateway.OutcomeSuccess) {
-			req.storeReply(out.Attempt, rep)
+		if rep != nil {
+			req.keepReply(out.Attempt, rep, !out.Gather)
 		}
 		d.metrics.AttemptEnded(out.Service, ended.Outcome)
 		endSpan(ended.Outcome)
@@ -328,6 +331,12 @@
 	}()
 }
 
+// answerOverBound records an answer of a target that was ended because it exceeded a bound.
+func (d *Daemon) answerOverBound(target model.TargetID, over *boundError) {
+	d.metrics.OverBound(string(over.bound))
+	d.log.GatewayEvent(gateway.Event{Name: "AnswerOverBound", Subject: string(target), Before: "read", After: over.Error(), Warning: true})
+}
+
 // addCancel registers the function that cancels an attempt.
 func (d *Daemon) addCancel(id gateway.AttemptID, cancel func()) {
 	d.mu.Lock()
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -15,10 +15,6 @@
 	"galenadyke.dev/node/gateway/gatewaypb"
 )
 
-// maxForwardedAttempts bounds the attempts of one batch that this instance forwards. It is
-// above the number of shards of any index of the target size.
-const maxForwardedAttempts = 1 << 10
-
 // Forward implements gatewaypb.GatewayServer. It sends the attempts of another instance's
 // request to targets and streams their ends.
 func (s *peerServer) Forward(in *gatewaypb.ForwardRequest, stream grpc.ServerStreamingServer[gatewaypb.ForwardReply]) error {
@@ -33,6 +29,7 @@
 	var endSpan func(failure string)
 	req.traceparent, endSpan = c.spans.StartRequest(in.GetTraceparent(), req.caller.AttemptID, true)
 	c.add(req)
+	defer req.release()
 	defer c.remove(req.id)
 	arrived := gateway.BatchArrived{Request: req.id, Route: in.GetRoute(), TopK: int(in.GetTopK()), At: c.bootTime(),
 		ReportAfter: time.Duration(in.GetReportAfterNs()), Deadline: time.Duration(in.GetDeadlineLeftNs()), Remaining: req.caller.Remaining}
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -17,16 +17,10 @@
 	"galenadyke.dev/node/peer"
 )
 
-const (
-	// peerWriteBufferBytes is the size of the write buffer of a connection between
-	// instances. It is small because an instance has up to 170 such connections in a
-	// fleet of the target size.
-	peerWriteBufferBytes = 4 << 10
-	// maxPeerMessageBytes bounds a message between instances. It is several times the size
-	// of the store's content: a configuration of 1 MB and entries of 300 bytes for 2,300
-	// targets.
-	maxPeerMessageBytes = 16 << 20
-)
+// peerWriteBufferBytes is the size of the write buffer of a connection between instances.
+// It is small because an instance has up to 170 such connections in a fleet of the target
+// size.
+const peerWriteBufferBytes = 4 << 10
 
 // peerClients holds the connections to other instances by address. Its methods may be
 // called from any goroutine.
@@ -105,6 +99,7 @@
 		Objective: time.Duration(in.GetObjectiveLeftNs()), Deadline: time.Duration(in.GetDeadlineLeftNs()),
 		Configuration: in.GetConfiguration(),
 	}}
+	defer req.release()
 	a, ok := s.callers.handle(ctx, req, in.GetTraceparent(), arrived)
 	if !ok {
 		return nil, context.Cause(ctx)
--- a/node/gateway/pool.go
+++ b/node/gateway/pool.go
@@ -39,6 +39,7 @@
 // conn is a connection to a target, idle or in use.
 type conn struct {
 	net.Conn
+	in          *limitedReader // reads from Conn; br reads from it
 	br          *bufio.Reader
 	raw         syscall.RawConn
 	usableUntil time.Time // from this time on, the connection is not taken for a new request
@@ -155,7 +156,8 @@
 		nc.Close()
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, connReadBufferBytes), raw: raw, usableUntil: time.Now().Add(connIdleTimeout)}, nil
+	in := &limitedReader{r: nc, left: unlimited}
+	return &conn{Conn: nc, in: in, br: bufio.NewReaderSize(in, connReadBufferBytes), raw: raw, usableUntil: time.Now().Add(connIdleTimeout)}, nil
 }
 
 // setUsableUntil sets how long the connection may stay idle, from the headers of the latest
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -13,10 +13,6 @@
 	"galenadyke.dev/node/gateway/gatewaypb"
 )
 
-// maxStateMessageBytes bounds a received state message; the rest of a longer one is cut
-// off. A message of this size fits into one packet.
-const maxStateMessageBytes = 1400
-
 // stateLink exchanges state messages with other instances as datagrams. Datagrams need
 // no connection, so the memory for peers does not grow with the fleet. The next round of
 // messages makes up for a lost one.
@@ -29,16 +25,23 @@
 // errNoSender is the error of a state message without a sender.
 var errNoSender = errors.New("the sender has no name")
 
+// errStateTooLong is the error of a state message over maxStateMessageBytes.
+var errStateTooLong = fmt.Errorf("the message has more than %d bytes", maxStateMessageBytes)
+
 // run submits received messages to the core until the socket is closed.
 func (s *stateLink) run() {
-	buf := make([]byte, maxStateMessageBytes)
+	buf := make([]byte, maxStateMessageBytes+1)
 	for {
 		n, from, err := s.socket.ReadFrom(buf)
 		if err != nil {
 			return // the socket is closed
 		}
 		var in gatewaypb.State
-		err = proto.Unmarshal(buf[:n], &in)
+		if n > maxStateMessageBytes {
+			err = errStateTooLong
+		} else {
+			err = proto.Unmarshal(buf[:n], &in)
+		}
 		if err == nil && in.GetSender().GetName() == "" {
 			err = errNoSender
 		}
--- a/node/gateway/upstream.go
+++ b/node/gateway/upstream.go
@@ -3,18 +3,16 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"galenadyke.dev/core/gateway"
+	"galenadyke.dev/core/model"
 )
 
 const (
-	// maxReplyBytes bounds the body of a target's answer.
-	maxReplyBytes = 16 << 20
 	// maxSyncWriteBytes is the largest body that is written completely before the answer
 	// is read. A longer body is written while the answer is read, as the target may
 	// answer before it has read the body.
@@ -29,6 +27,7 @@
 	status int
 	header http.Header
 	body   []byte
+	hold   *bodyHold // the memory of body
 }
 
 // attempt is an attempt in flight.
@@ -72,7 +71,10 @@
 type upstream struct {
 	protocol Protocol
 	pools    *pools
+	bodies   *bodyBudget
 	bootTime func() time.Duration // returns the time of the Boot clock
+	// overBound is called when an answer exceeds a bound.
+	overBound func(model.TargetID, *boundError)
 }
 
 // do performs an attempt. The reply is nil if there is no complete answer.
@@ -123,6 +125,10 @@
 		return nil, false
 	}
 	r, headers, reusable, err := u.readReply(a, conn)
+	var over *boundError
+	if errors.As(err, &over) {
+		u.overBound(a.out.Target, over)
+	}
 	if err != nil {
 		ended.Outcome, ended.Cause = gateway.OutcomeBroken, err.Error()
 		var timeout net.Error
@@ -179,27 +185,41 @@
 		if err != nil {
 			return nil, headers, false, err
 		}
-		body, err := readBody(resp)
+		limit := int64(maxReplyBytes)
+		if a.out.Gather {
+			limit = maxPartBytes
+		}
+		// The body is not closed after an error, as closing reads the rest of it.
+		hold := u.bodies.hold(func() { conn.Close() })
+		body, err := readBody(resp.Body, resp.ContentLength, limit, hold)
 		if err != nil {
+			hold.release()
 			return nil, headers, false, err
 		}
 		headers = u.protocol.ParseReply(resp.Header)
 		if headers.AttemptID != "" && headers.AttemptID != a.req.caller.AttemptID {
+			hold.release()
 			if resp.Close {
 				break
 			}
 			continue
 		}
-		r = &reply{status: resp.StatusCode, header: resp.Header, body: body}
+		r = &reply{status: resp.StatusCode, header: resp.Header, body: body, hold: hold}
 		return r, headers, !resp.Close && stale == 0, nil
 	}
 	return nil, headers, false, errForeignReply
 }
 
-// readFinalResponse reads the next answer that is not informational (1xx).
+// readFinalResponse reads the head of the next answer that is not informational (1xx).
 func readFinalResponse(conn *conn, method string) (*http.Response, error) {
-	for {
+	conn.in.left = maxReplyHeadBytes
+	defer func() { conn.in.left = unlimited }()
+	for range 1 + maxInformational {
 		resp, err := http.ReadResponse(conn.br, &http.Request{Method: method})
+		if err != nil && conn.in.left <= 0 {
+			// net/http may report the line that was cut off instead.
+			return nil, &boundError{boundHead, maxReplyHeadBytes}
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -210,24 +230,7 @@
 			return resp, nil
 		}
 	}
-}
-
-// readBody reads a body of at most maxReplyBytes.
-func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	if resp.ContentLength > maxReplyBytes {
-		return nil, fmt.Errorf("a body of %d bytes is over the limit", resp.ContentLength)
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = fmt.Errorf("a body of more than %d bytes is over the limit", maxReplyBytes)
-	}
-	return body, err
+	return nil, &boundError{boundInformational, maxInformational}
 }
 
 // classify sets the outcome of a complete answer in ended.
--- a/node/gateway/upstream_test.go
+++ b/node/gateway/upstream_test.go
@@ -127,11 +127,13 @@
 	u     *upstream
 	start time.Time
 	next  gateway.AttemptID
+	over  []bound // bounds that answers exceeded
 }
 
 func newTestUpstream() *testUpstream {
 	s := &testUpstream{start: time.Now()}
-	s.u = &upstream{protocol: testProtocol{}, pools: newPools(func() {}), bootTime: func() time.Duration { return time.Since(s.start) }}
+	s.u = &upstream{protocol: testProtocol{}, pools: newPools(func() {}), bodies: newBodyBudget(0), bootTime: func() time.Duration { return time.Since(s.start) },
+		overBound: func(_ model.TargetID, over *boundError) { s.over = append(s.over, over.bound) }}
 	return s
 }
 
