node/gateway: a late second copy without an ID is not taken for the next answer

Cause: an answer without the attempt's ID was taken for the one that is due. A server that repeats an answer late, without an ID, on a connection that is in use again thus gave the next caller an answer that wasn't its own.

Change: once an answer on a connection has stated an ID, an answer there without one is skipped like one with another ID.

Test: TestLateSecondCopyIsNotTheNextAnswer plays copies with their own ID, with another one and without one, while the connection is idle, before and after the next answer; the case without an ID before the answer fails without the change.

--- a/node/gateway/pool.go
+++ b/node/gateway/pool.go
@@ -39,8 +39,11 @@
 // conn is a connection to a target, idle or in use.
 type conn struct {
 	net.Conn
-	in          *limitedReader // reads from Conn; br reads from it
-	br          *bufio.Reader
+	in *limitedReader // reads from Conn; br reads from it
+	br *bufio.Reader
+	// identifies is set once an answer on the connection has stated the ID of its attempt.
+	// An answer without an ID is then not the one that is due.
+	identifies  bool
 	raw         syscall.RawConn
 	usableUntil time.Time // from this time on, the connection is not taken for a new request
 	idleSince   time.Time
--- a/node/gateway/upstream.go
+++ b/node/gateway/upstream.go
@@ -197,13 +197,18 @@
 			return nil, headers, false, err
 		}
 		headers = u.protocol.ParseReply(resp.Header)
-		if headers.AttemptID != "" && headers.AttemptID != a.req.caller.AttemptID {
+		foreign := headers.AttemptID != a.req.caller.AttemptID
+		if headers.AttemptID == "" {
+			foreign = conn.identifies
+		}
+		if foreign {
 			hold.release()
 			if resp.Close {
 				break
 			}
 			continue
 		}
+		conn.identifies = conn.identifies || headers.AttemptID != ""
 		r = &reply{status: resp.StatusCode, header: resp.Header, body: body, hold: hold}
 		return r, headers, !resp.Close && stale == 0, nil
 	}
--- a/node/gateway/upstream_test.go
+++ b/node/gateway/upstream_test.go
@@ -273,6 +273,82 @@
 	}
 }
 
+// Guards against a second copy of an answer that arrives late, on a connection that is in use
+// again, and is taken for the answer to the next request. The copy comes while the connection
+// is idle, after the next request has been written, or after its answer; with the ID of its
+// own attempt, with that of another instance's, or without one.
+func TestLateSecondCopyIsNotTheNextAnswer(t *testing.T) {
+	own := func(id string) string { return okAnswer(id, "copy") }
+	other := func(string) string { return okAnswer("elsewhere", "copy") }
+	without := func(string) string {
+		return "HTTP/1.1 200 OK\r\nX-Stamp: st\r\nContent-Length: 4\r\n\r\ncopy"
+	}
+	for name, copyOf := range map[string]func(id string) string{"own ID": own, "other ID": other, "no ID": without} {
+		for _, when := range []string{"idle", "before the answer", "after the answer"} {
+			t.Run(name+", "+when, func(t *testing.T) {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer l.Close()
+				go func() {
+					for {
+						c, err := l.Accept()
+						if err != nil {
+							return
+						}
+						go answerWithCopies(c, copyOf, when)
+					}
+				}()
+				s := newTestUpstream()
+				reused := false
+				for i := range 6 {
+					ended, rep := s.send(&scriptedTarget{address: l.Addr().String()}, "POST", fmt.Sprint("r", i), "b")
+					reused = reused || ended.Reused
+					if ended.Outcome != gateway.OutcomeSuccess || string(rep.body) != "right" {
+						t.Errorf("request %d: got outcome %v (%s), want success with its own answer", i, ended.Outcome, ended.Cause)
+					}
+					if when == "idle" {
+						time.Sleep(20 * time.Millisecond) // the copy arrives meanwhile
+					}
+				}
+				if when == "before the answer" && !reused {
+					t.Error("no connection was used again, want the copies on reused connections")
+				}
+			})
+		}
+	}
+}
+
+// answerWithCopies answers each request on a connection with its ID, and sends a copy of an
+// answer after the first one while the connection is idle, or before or after the second.
+func answerWithCopies(c net.Conn, copyOf func(id string) string, when string) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	previous := ""
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		id := req.Header.Get("X-Id")
+		answer := okAnswer(id, "right")
+		switch {
+		case when == "before the answer" && previous != "":
+			answer = copyOf(previous) + answer
+		case when == "after the answer" && previous != "":
+			answer += copyOf(id)
+		}
+		_, _ = io.WriteString(c, answer)
+		if when == "idle" {
+			time.Sleep(5 * time.Millisecond) // the instance returns the connection to the pool
+			_, _ = io.WriteString(c, copyOf(id))
+		}
+		previous = id
+	}
+}
+
 // Guards against a request that is written twice. If a reused connection breaks after the
 // write, the attempt must end and not be sent again on another connection.
 func TestBrokenReusedConnectionDoesNotResend(t *testing.T) {
