core/gateway: a request's steps name the attempts that a forwarder refused

Cause: attempts that a forwarder refuses are sent directly, which costs a round trip, and no line showed it.

Change: a step with the forwarder and the counts.

--- a/core/gateway/batch.go
+++ b/core/gateway/batch.go
@@ -205,6 +205,9 @@
 			refused++
 		}
 	}
+	if refused > 0 && !r.ended {
+		g.recordStep(r, "refused", string(b.forwarder.Name), "%d of %d parts, which are sent directly", refused, len(b.attempts))
+	}
 	if refused == len(b.attempts) {
 		g.avoidForwarder(b.forwarder, "it refused the whole batch")
 	}
