node/gateway: a planned stop answers what it has accepted

Closing the listener resets connections that the system has established and that were not accepted yet. The core ends the stop once all requests that it knows are answered, and it does not know of a request whose body is still arriving. Answers to other instances could be cut off by the end of their server.

The stop then waits for connections that have a request, or are younger than 1 s and have had none, until 0.5 s before the end of the stop timeout; answers end their connections. The server for other instances ends gracefully within the same 0.3 s as before. Close may be called twice.

--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -92,28 +92,29 @@
 // callerServer serves requests from callers over HTTP. It also keeps the requests that other
 // instances delegate until they are answered.
 type callerServer struct {
-	protocol Protocol
-	submit   func(gateway.Input) bool
-	bootTime func() time.Duration // returns the time of the Boot clock
-	metrics  Metrics
-	spans    *telemetry.Spans
-	http     *khttp.Server
-	limits   atomic.Pointer[gateway.CallerLimits]
-	idle     *idleConnections
-	bodies   *bodyBudget
-	lastID   atomic.Uint64
+	protocol    Protocol
+	submit      func(gateway.Input) bool
+	bootTime    func() time.Duration // returns the time of the Boot clock
+	metrics     Metrics
+	spans       *telemetry.Spans
+	listener    *drainingListener
+	http        *khttp.Server
+	limits      atomic.Pointer[gateway.CallerLimits]
+	connections *callerConnections
+	bodies      *bodyBudget
+	lastID      atomic.Uint64
 
 	mu       sync.Mutex // guards requests; held for map operations only
 	requests map[gateway.RequestID]*callerRequest
 }
 
-func newCallerServer(l net.Listener, p Protocol, submit func(gateway.Input) bool, bootTime func() time.Duration, bodies *bodyBudget, m Metrics, spans *telemetry.Spans) *callerServer {
-	s := &callerServer{protocol: p, submit: submit, bootTime: bootTime, bodies: bodies, metrics: m, spans: spans, requests: make(map[gateway.RequestID]*callerRequest)}
+func newCallerServer(l *drainingListener, p Protocol, submit func(gateway.Input) bool, bootTime func() time.Duration, bodies *bodyBudget, m Metrics, spans *telemetry.Spans) *callerServer {
+	s := &callerServer{listener: l, protocol: p, submit: submit, bootTime: bootTime, bodies: bodies, metrics: m, spans: spans, requests: make(map[gateway.RequestID]*callerRequest)}
 	limits := defaultLimits
 	s.limits.Store(&limits)
-	s.idle = newIdleConnections(func() time.Duration { return s.limits.Load().IdleTimeout })
+	s.connections = newCallerConnections(func() time.Duration { return s.limits.Load().IdleTimeout })
 	s.http = newServer(l, s)
-	s.http.ConnState = s.idle.connState
+	s.http.ConnState = s.connections.connState
 	return s
 }
 
@@ -132,6 +133,26 @@
 	s.limits.Store(&limits)
 }
 
+// drainCheckInterval is the time between two checks for connections in use during a stop.
+const drainCheckInterval = 10 * time.Millisecond
+
+// drain stops accepting callers, closes idle connections, and waits until all requests in
+// progress have been answered or ctx ends. Each further answer ends its connection. The
+// graceful shutdown of net/http is not used for this, as it drops requests that it reads
+// after it has begun.
+func (s *callerServer) drain(ctx context.Context) {
+	s.listener.stopAccepting()
+	s.http.SetKeepAlivesEnabled(false)
+	check := time.NewTicker(drainCheckInterval)
+	defer check.Stop()
+	for s.connections.inUse() && ctx.Err() == nil {
+		select {
+		case <-check.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // newServer returns a kratos server that passes every request unchanged to the handler. It
 // bypasses the router of kratos, which would clean paths.
 func newServer(l net.Listener, h http.Handler) *khttp.Server {
--- /dev/null
+++ b/node/gateway/connections.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// callerConnections follows the connections of callers. It closes those that are idle for
+// longer than the limit, in place of the idle timeout of net/http, which can't change while
+// a server runs, whereas operators may publish another limit at any time.
+type callerConnections struct {
+	limit func() time.Duration
+
+	mu     sync.Mutex // guards the fields below; held for map operations only
+	timers map[net.Conn]*time.Timer
+	// busy are the connections that are not idle. The value is the time at which the
+	// connection was opened until its first request has been read, and then zero.
+	busy map[net.Conn]time.Time
+}
+
+func newCallerConnections(limit func() time.Duration) *callerConnections {
+	return &callerConnections{limit: limit, timers: make(map[net.Conn]*time.Timer), busy: make(map[net.Conn]time.Time)}
+}
+
+// maxFreshTime is how long a stop waits for the first request on a new connection.
+const maxFreshTime = time.Second
+
+// inUse reports whether a caller is waiting for an answer, or may be sending a request.
+func (i *callerConnections) inUse() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, openedAt := range i.busy {
+		if openedAt.IsZero() || time.Since(openedAt) < maxFreshTime {
+			return true
+		}
+	}
+	return false
+}
+
+// connState is the hook http.Server.ConnState.
+func (i *callerConnections) connState(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		i.busy[c] = time.Now()
+	case http.StateActive:
+		i.busy[c] = time.Time{}
+	default:
+		delete(i.busy, c)
+	}
+	switch state {
+	case http.StateIdle:
+		if t := i.timers[c]; t != nil {
+			t.Reset(i.limit())
+			return
+		}
+		// A request that arrives during the close is lost, but it was sent later than the
+		// published idle timeout allows.
+		i.timers[c] = time.AfterFunc(i.limit(), func() { _ = c.Close() })
+	case http.StateActive:
+		if t := i.timers[c]; t != nil {
+			t.Stop()
+		}
+	case http.StateClosed, http.StateHijacked:
+		if t := i.timers[c]; t != nil {
+			t.Stop()
+			delete(i.timers, c)
+		}
+	}
+}
--- a/node/gateway/idle_test.go
+++ b/node/gateway/connections_test.go
@@ -19,7 +19,7 @@
 func TestIdleConnectionsCloseAfterThePublishedTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limit := time.Minute
-		idle := newIdleConnections(func() time.Duration { return limit })
+		idle := newCallerConnections(func() time.Duration { return limit })
 		serverConn, callerConn := net.Pipe()
 		defer callerConn.Close()
 		closed := make(chan struct{})
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -82,6 +82,7 @@
 	bodies        *bodyBudget
 	state         *stateLink
 	store         Store
+	peers         *peerServer
 	peerServer    *grpc.Server
 	controlServer *khttp.Server
 	readyServer   *khttp.Server
@@ -90,6 +91,11 @@
 	ready   atomic.Pointer[gateway.ReadinessChanged]
 	stopped chan struct{}
 	failed  chan error
+	// callersDone is closed once no caller has a request in progress after StopAccepting,
+	// or at the end of the time for that.
+	callersDone chan struct{}
+	// shutdownAt is the time of the first call of Shutdown.
+	shutdownAt atomic.Pointer[time.Time]
 
 	peerClients *peerClients
 	clock       driver.SystemClock
@@ -105,10 +111,16 @@
 	peerListener net.Listener
 	ctx          context.Context
 	cancel       context.CancelFunc
+	closeOnce    sync.Once
 }
 
-// closeTimeout bounds the wait of Close for the HTTP servers and the export of spans.
-const closeTimeout = 300 * time.Millisecond
+const (
+	// closeTimeout bounds the wait of Close for the servers and the export of spans.
+	closeTimeout = 300 * time.Millisecond
+	// stopReserve is the end of the stop timeout that is reserved for Close. Until then the
+	// stop waits for the connections of callers that are sending a request or get an answer.
+	stopReserve = 500 * time.Millisecond
+)
 
 // New returns a daemon whose listeners are open. Start makes it serve. Log lines go to
 // w. The error of a listener names its setting.
@@ -123,7 +135,8 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, metrics: telemetry.NewGatewayMetrics(), stopped: make(chan struct{}), failed: make(chan error, 4),
-		cancels: make(map[gateway.AttemptID]func()), peerClients: newPeerClients()}
+		callersDone: make(chan struct{}),
+		cancels:     make(map[gateway.AttemptID]func()), peerClients: newPeerClients()}
 	d.ready.Store(&gateway.ReadinessChanged{Reason: "the instance has just started"})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if d.log, err = telemetry.NewLog(w, s.LogLevel, d.metrics); err != nil {
@@ -184,7 +197,7 @@
 	}
 	submit := d.loop.Submit
 	d.bodies = newBodyBudget(s.MemoryMB)
-	d.callers = newCallerServer(listeners[0], p.Protocol, submit, d.clock.Boot, d.bodies, d.metrics, d.spans)
+	d.callers = newCallerServer(newDrainingListener(listeners[0].(*net.TCPListener)), p.Protocol, submit, d.clock.Boot, d.bodies, d.metrics, d.spans)
 	d.readyServer = newServer(listeners[1], http.HandlerFunc(d.serveReady))
 	d.controlServer = newServer(listeners[2], http.HandlerFunc(d.serveControl))
 	d.servers = map[string]*khttp.Server{"callers": d.callers.http, "balancer": d.readyServer, "control": d.controlServer}
@@ -196,7 +209,8 @@
 		overBound: d.answerOverBound}
 	d.state = &stateLink{socket: socket, submit: submit, log: d.log}
 	d.store = p.OpenStore(s.Store, submit, d.log)
-	d.peerServer = newPeerServer(&peerServer{store: d.store, callers: d.callers})
+	d.peers = &peerServer{store: d.store, callers: d.callers, stopping: make(chan struct{})}
+	d.peerServer = newPeerServer(d.peers)
 	return nil
 }
 
@@ -223,6 +237,8 @@
 
 // Shutdown begins the graceful stop and returns at once.
 func (d *Daemon) Shutdown() {
+	now := time.Now()
+	d.shutdownAt.CompareAndSwap(nil, &now)
 	d.log.Info("ShutdownRequested", map[string]any{"subject": d.settings.Instance})
 	d.loop.Submit(gateway.Stop{})
 }
@@ -235,15 +251,17 @@
 func (d *Daemon) Failed() <-chan error { return d.failed }
 
 // Close stops the servers, connections and goroutines. It waits up to closeTimeout for
-// answers that are being written.
-func (d *Daemon) Close() {
+// answers that are being written. Further calls have no effect.
+func (d *Daemon) Close() { d.closeOnce.Do(d.close) }
+
+func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for _, server := range d.servers {
 		_ = server.Stop(ctx) // the end of the process closes the remaining connections
 	}
+	d.stopPeerServer(ctx)
 	d.cancel()
-	d.peerServer.Stop()
 	d.peerClients.closeAll()
 	d.state.socket.Close()
 	d.upstream.pools.closeAll()
@@ -253,6 +271,22 @@
 	d.log.Close()
 }
 
+// stopPeerServer stops the server for other instances. It waits until ctx ends for the
+// answers to their requests.
+func (d *Daemon) stopPeerServer(ctx context.Context) {
+	close(d.peers.stopping)
+	done := make(chan struct{})
+	go func() {
+		d.peerServer.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	d.peerServer.Stop()
+}
+
 // observe applies the caller limits of a new configuration before the core acts on it.
 func (d *Daemon) observe(inputs []gateway.Input) {
 	for _, in := range inputs {
@@ -300,7 +334,11 @@
 	case gateway.StopAccepting:
 		go d.stopAccepting()
 	case gateway.Stopped:
-		close(d.stopped)
+		// The core does not know of requests whose bodies are still arriving.
+		go func() {
+			<-d.callersDone
+			close(d.stopped)
+		}()
 	default:
 		d.log.Error("OutputUnknown", map[string]any{"subject": fmt.Sprintf("%T", out)})
 	}
@@ -370,12 +408,13 @@
 	d.upstream.pools.put(poolKey{string(out.Target), out.Address}, c)
 }
 
-// stopAccepting closes the listener for callers and the callers' idle connections. Requests
-// in flight continue.
+// stopAccepting stops accepting callers, and waits until the requests in progress have been
+// answered.
 func (d *Daemon) stopAccepting() {
-	ctx, cancel := context.WithTimeout(d.ctx, time.Duration(d.settings.StopTimeout))
+	defer close(d.callersDone)
+	ctx, cancel := context.WithDeadline(d.ctx, d.shutdownAt.Load().Add(time.Duration(d.settings.StopTimeout)-stopReserve))
 	defer cancel()
-	_ = d.callers.http.Stop(ctx) // the core answers the remaining requests
+	d.callers.drain(ctx)
 }
 
 // serveReady serves the readiness check of the load balancer.
--- a/node/gateway/daemon_test.go
+++ b/node/gateway/daemon_test.go
@@ -51,13 +51,14 @@
 	store.Put("op/config", `{"version":1,"routes":[{"name":"all","hostname":"h","prefix":"/all/","route_type":"safe",
 "timeout_ms":5000,"target_latency_ms":4000,"priority":1,"gather":["a","b"],"max_attempts":2,"top_k":2,"min_coverage":1}],
 "services":[{"name":"a","max_connections":9},{"name":"b","max_connections":9}],"limits":{}}`)
-	f.base = "http://" + startDaemon(t, "front-0", "ikeja", storeServer.URL, adjust).CallerListen
+	_, s := startDaemon(t, "front-0", "ikeja", storeServer.URL, adjust)
+	f.base = "http://" + s.CallerListen
 	return f
 }
 
-// startDaemon starts an instance in a data centre and returns its settings. adjust, which
+// startDaemon starts an instance in a data centre and returns it with its settings. adjust, which
 // must not be nil, changes the settings before the start.
-func startDaemon(t *testing.T, name, place, storeURL string, adjust func(*settings.Gateway)) settings.Gateway {
+func startDaemon(t *testing.T, name, place, storeURL string, adjust func(*settings.Gateway)) (*gateway.Daemon, settings.Gateway) {
 	t.Helper()
 	s := settings.GatewayDefaults()
 	s.Instance, s.Place, s.Store = name, place, strings.TrimPrefix(storeURL, "http://")
@@ -73,7 +74,7 @@
 	}
 	d.Start()
 	t.Cleanup(d.Close)
-	return s
+	return d, s
 }
 
 var addresses atomic.Uint32
--- a/node/gateway/follow.go
+++ b/node/gateway/follow.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"galenadyke.dev/core/gateway"
 	"galenadyke.dev/node/gateway/gatewaypb"
@@ -46,6 +48,8 @@
 		select {
 		case <-changed:
 		case <-heartbeat.C:
+		case <-s.stopping:
+			return status.Error(codes.Unavailable, "the instance stops")
 		case <-stream.Context().Done():
 			return context.Cause(stream.Context())
 		}
--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -13,30 +13,33 @@
 	"galenadyke.dev/platform/platformtest"
 )
 
-// Guards against parts, records or stamps that are lost between two instances: a request
-// over shards in two data centres is answered completely, with one batch to the instance in
-// the other data centre, and each server gets it once.
-func TestBatchIsForwardedBetweenInstances(t *testing.T) {
+// startFourShards starts a store with a gathering route at /all/ over the shards a to d, and
+// a server of each in the data centre given, which answers after the delay. It returns the URL
+// of the store.
+func startFourShards(t *testing.T, delay time.Duration, places ...string) string {
+	t.Helper()
 	store := platformtest.NewStore(500)
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
-	shards := []string{"a", "b", "c", "d"}
-	servers := make([]*platformtest.Server, len(shards))
-	for i, shard := range shards {
-		place := "ikeja"
-		if i >= 2 {
-			place = "lekki"
-		}
-		servers[i] = platformtest.NewServer(shard+"-0", shard, place, 0, []byte(strings.Repeat(shard, 16)))
-		h := httptest.NewServer(servers[i])
+	for i, shard := range []string{"a", "b", "c", "d"} {
+		s := platformtest.NewServer(shard+"-0", shard, places[i], delay, []byte(strings.Repeat(shard, 16)))
+		h := httptest.NewServer(s)
 		t.Cleanup(h.Close)
-		store.Put("servers/"+servers[i].ID, servers[i].Entry(strings.TrimPrefix(h.URL, "http://"), "ready", 1))
+		store.Put("servers/"+s.ID, s.Entry(strings.TrimPrefix(h.URL, "http://"), "ready", 1))
 	}
 	store.Put("op/config", `{"version":1,"routes":[{"name":"all","hostname":"h","prefix":"/all/","route_type":"safe",
 "timeout_ms":5000,"target_latency_ms":4000,"priority":1,"gather":["a","b","c","d"],"max_attempts":2,"top_k":3,"min_coverage":1}],
 "services":[{"name":"a","max_connections":99},{"name":"b","max_connections":99},{"name":"c","max_connections":99},{"name":"d","max_connections":99}],"limits":{}}`)
-	far := startDaemon(t, "front-1", "lekki", storeServer.URL, func(*settings.Gateway) {})
-	near := startDaemon(t, "front-0", "ikeja", storeServer.URL, func(s *settings.Gateway) { s.Seeds = []string{far.ControlListen} })
+	return storeServer.URL
+}
+
+// Guards against parts, records or stamps that are lost between two instances: a request
+// over shards in two data centres is answered completely, with one batch to the instance in
+// the other data centre, and each server gets it once.
+func TestBatchIsForwardedBetweenInstances(t *testing.T) {
+	storeURL := startFourShards(t, 0, "ikeja", "ikeja", "lekki", "lekki")
+	_, far := startDaemon(t, "front-1", "lekki", storeURL, func(*settings.Gateway) {})
+	_, near := startDaemon(t, "front-0", "ikeja", storeURL, func(s *settings.Gateway) { s.Seeds = []string{far.ControlListen} })
 
 	for i := 0; ; i++ {
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+near.CallerListen+"/all/x", nil)
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -89,6 +89,8 @@
 	gatewaypb.UnimplementedGatewayServer
 	store   Store
 	callers *callerServer
+	// stopping is closed when the instance stops. It ends the streams of followers.
+	stopping chan struct{}
 }
 
 // Gather implements gatewaypb.GatewayServer. It handles a delegated request.
