core/gateway: forwarders report ends within 8 ms

Cause: forwarders reported the first attempts of a batch together, shortly before the first hedge would be sent.

Ruled out: refusals of forwarders whose connections are all in use.

Change: an end waits at most 8 ms to be reported with others. The check of a silent forwarder is at the objective of the request.

--- a/core/gateway/batch.go
+++ b/core/gateway/batch.go
@@ -13,9 +13,11 @@
 // that are sent at the same time are therefore sent as a batch through an instance there,
 // the forwarder. It returns how the attempts ended, and their records.
 //
-// The first attempts of a request are reported together, with the greatest records of all
-// successful ones. The ends of hedges and retries are reported one by one, so that the
-// records of a part are never merged in two replies.
+// Ends of first attempts that come within maxReportDelay are reported together, with the
+// greatest records of the successful ones. The ends of hedges and retries are reported one by
+// one, so that the records of a part are never merged in two replies. A longer delay saves
+// bytes, but what the sender knows of the load of the targets is older by that much: when all
+// ends of a batch were reported together, requests were late while targets were slow.
 //
 // The sender of a batch decides everything else, as for a direct attempt: it chose the
 // targets, and it hedges, retries and counts the attempts. A forwarder makes each attempt
@@ -95,28 +97,13 @@
 		a.batch = b
 		out.Targets = append(out.Targets, a.target.ID)
 	}
-	out.ReportAfter = g.reportDelay(b)
+	if !r.firstBatchesSent {
+		out.ReportDelay = maxReportDelay
+	}
 	g.emit(out)
 	g.recordStep(r, "forwarded", string(m.Name), "%d parts in %s, %d other batches at it, heard of %d ms ago",
 		len(attempts), m.Place, m.forwarding-1, (g.now-m.heardAt)/time.Millisecond)
-	if out.ReportAfter > 0 {
-		g.after(out.ReportAfter+g.roundTrip(m.Place)+silentForwarderMargin, func() { g.checkForwarder(b) })
-	}
-}
-
-// reportDelay returns the time from the arrival of a batch at its forwarder to the first
-// report: for the first attempts of a request, early enough to arrive before a hedge of an
-// attempt that has ended is sent. For other attempts it is 0: each end is reported at once.
-func (g *Gateway) reportDelay(b *batch) time.Duration {
-	r := b.request
-	if r.firstBatchesSent {
-		return 0
-	}
-	hedgeDelay := r.deadline - g.now
-	for _, a := range b.attempts {
-		hedgeDelay = min(hedgeDelay, g.hedgeDelay(r, &r.parts[a.part], a.target))
-	}
-	return max(minReportDelay, hedgeDelay-g.roundTrip(b.forwarder.Place)-reportMargin)
+	g.after(max(0, r.objective-g.now), func() { g.checkForwarder(b) })
 }
 
 // sendDirectly sends an attempt from this instance.
@@ -169,10 +156,10 @@
 	return false
 }
 
-// checkForwarder excludes the forwarder of a batch that has had no reply in time. Its
-// attempts continue, and are hedged if need be.
+// checkForwarder excludes the forwarder of a batch of several attempts that has had no reply
+// when its request should be answered. Its attempts continue, and are hedged if need be.
 func (g *Gateway) checkForwarder(b *batch) {
-	if g.batches[b.id] != nil && !b.replied && !b.request.ended {
+	if g.batches[b.id] != nil && !b.replied && len(b.attempts) > 1 {
 		g.avoidForwarder(b.forwarder, "no reply in time")
 	}
 }
@@ -348,8 +335,10 @@
 	records [][]byte
 	// open counts the attempts that have not ended.
 	open int
-	// immediate is set once each further end is reported at once.
-	immediate bool
+	// delay is how long an end may wait to be reported with others. scheduled is set while a
+	// report is due.
+	delay     time.Duration
+	scheduled bool
 }
 
 // batchArrived sends the attempts of a batch for another instance.
@@ -357,7 +346,7 @@
 	r := &request{id: in.Request, arrived: in.At, deadline: in.At + in.Deadline, callerDeadline: in.At + in.Remaining,
 		route:   &Route{Name: in.Route, Idempotent: true, MaxAttempts: 1, TopK: in.TopK},
 		parts:   make([]part, len(in.Targets)),
-		forward: &forwarding{open: len(in.Targets), immediate: in.ReportAfter <= 0}}
+		forward: &forwarding{open: len(in.Targets), delay: in.ReportDelay}}
 	r.objective, r.openParts = r.deadline, len(r.parts)
 	g.requests[r.id] = r
 	for i, id := range in.Targets {
@@ -375,13 +364,10 @@
 			g.send(r, i, t)
 		}
 	}
-	if !r.ended && in.ReportAfter > 0 {
-		g.after(in.At+in.ReportAfter-g.now, func() { g.reportForwarded(r) })
-	}
 }
 
-// forwardedEnded records the end of a forwarded attempt, and reports it if it is the last
-// one or the time of the first report has passed.
+// forwardedEnded records the end of a forwarded attempt. It is reported at once if it is the
+// last one or may not wait, else together with those that end soon.
 func (g *Gateway) forwardedEnded(r *request, end BatchEnd) {
 	f := r.forward
 	f.open--
@@ -390,19 +376,12 @@
 		end.End.Part.Records = nil
 	}
 	f.ends = append(f.ends, end)
-	if f.open == 0 || f.immediate {
-		g.reportEnds(r)
-	}
-}
-
-// reportForwarded makes the first report of a batch that has not been reported completely.
-func (g *Gateway) reportForwarded(r *request) {
-	if r.ended {
-		return
-	}
-	r.forward.immediate = true
-	if len(r.forward.ends) > 0 {
+	switch {
+	case f.open == 0 || f.delay <= 0:
 		g.reportEnds(r)
+	case !f.scheduled:
+		f.scheduled = true
+		g.after(f.delay, func() { g.reportEnds(r) })
 	}
 }
 
@@ -410,6 +389,10 @@
 // last one.
 func (g *Gateway) reportEnds(r *request) {
 	f := r.forward
+	f.scheduled = false
+	if len(f.ends) == 0 || r.ended {
+		return
+	}
 	g.emit(ReplyBatch{Request: r.id, Ends: f.ends, Records: greatestRecords(f.records, r.route.TopK), Done: f.open == 0})
 	f.ends, f.records = nil, nil
 	r.ended = f.open == 0
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -147,10 +147,11 @@
 	// Route is the name of the route, TopK the maximum number of records in a reply.
 	Route string
 	TopK  int
+	// ReportDelay is how long an end may wait to be reported together with others.
+	ReportDelay time.Duration
 	// At is the time at which the batch was read, on the Boot clock. The other times count
-	// from then on: until ends are reported although others are missing, until the latest
-	// end of the attempts, and until the caller stops waiting.
-	At, ReportAfter, Deadline, Remaining time.Duration
+	// from then on: until the latest end of the attempts, and until the caller stops waiting.
+	At, Deadline, Remaining time.Duration
 }
 
 // BatchEnd is the end of one attempt of a batch.
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -174,13 +174,9 @@
 	gathererSilentAfter = 2 * delegateProbeGap
 	giveUpGathererAfter = 500 * time.Millisecond
 
-	// minReportDelay and reportMargin bound when a forwarder reports the attempts that have
-	// ended: at the earliest, and before the first hedge would be sent.
-	minReportDelay = 5 * time.Millisecond
-	reportMargin   = 3 * time.Millisecond
-	// silentForwarderMargin is how long after the expected report a forwarder counts as
-	// slow: longer than a small instance is without its processor share.
-	silentForwarderMargin = 100 * time.Millisecond
+	// maxReportDelay is how long a forwarder may delay the report of an attempt that has
+	// ended, to report it together with others.
+	maxReportDelay = 8 * time.Millisecond
 
 	// gossipInterval is the time between two rounds of state messages. Each message
 	// has about 700 bytes and is answered, so an instance has about 3 KB/s of control
--- a/core/gateway/output.go
+++ b/core/gateway/output.go
@@ -46,9 +46,8 @@
 	// Route is the name of the route, TopK the maximum number of records in a reply.
 	Route string
 	TopK  int
-	// ReportAfter is how long after the arrival the instance reports the attempts that
-	// have ended although others have not.
-	ReportAfter time.Duration
+	// ReportDelay is how long an end may wait to be reported together with others.
+	ReportDelay time.Duration
 	// Deadline and CallerDeadline are on the Boot clock, as in SendAttempt.
 	Deadline, CallerDeadline time.Duration
 }
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -32,7 +32,7 @@
 	defer req.release()
 	defer c.remove(req.id)
 	arrived := gateway.BatchArrived{Request: req.id, Route: in.GetRoute(), TopK: int(in.GetTopK()), At: c.bootTime(),
-		ReportAfter: time.Duration(in.GetReportAfterNs()), Deadline: time.Duration(in.GetDeadlineLeftNs()), Remaining: req.caller.Remaining}
+		ReportDelay: time.Duration(in.GetReportDelayNs()), Deadline: time.Duration(in.GetDeadlineLeftNs()), Remaining: req.caller.Remaining}
 	for _, id := range in.GetTargets() {
 		arrived.Targets = append(arrived.Targets, model.TargetID(id))
 	}
@@ -92,7 +92,7 @@
 	defer cancel()
 	in := &gatewaypb.ForwardRequest{Method: req.method, Head: req.head, Body: req.body, AttemptId: req.caller.AttemptID,
 		Route: out.Route, TopK: uint32(out.TopK), CallerLeftNs: int64(out.CallerDeadline - now), DeadlineLeftNs: int64(out.Deadline - now),
-		ReportAfterNs: int64(out.ReportAfter), Traceparent: traceparent}
+		ReportDelayNs: int64(out.ReportDelay), Traceparent: traceparent}
 	for _, id := range out.Targets {
 		in.Targets = append(in.Targets, string(id))
 	}
