core/gateway: a malformed gathered answer is a failure; lapsed targets outlive a second outage

Cause: (1) an answer of another instance was passed on to the caller as a success whatever it held: no parts, less than the minimum coverage, a part twice, a piece of a record. (2) Entries that lapsed in a second outage of the store were removed at once, as the time of the store's first return was still kept: live servers were given up because the store was silent. (3) A target whose address another one has still counted for the choice of gathering data centres.

Change: delegateEnded checks what it passes on; what fails is a broken answer (502, may have run). A lapsed target stays until lapseGrace after the store has returned, however often it was lost before.

--- a/core/gateway/gatherers.go
+++ b/core/gateway/gatherers.go
@@ -160,6 +160,11 @@
 			m.behindUntil = g.now + behindRetryDelay
 		}
 	}
+	if in.Outcome == OutcomeSuccess {
+		if fault := gatheredFault(r.route, in.Gathered); fault != "" {
+			in.Outcome, in.Cause = OutcomeBroken, fault
+		}
+	}
 	ran := in.Outcome.ran()
 	r.mayHaveRun = r.mayHaveRun || ran
 	if in.Outcome != OutcomeSuccess && !r.ended {
@@ -187,6 +192,28 @@
 	g.removeIfDone(r)
 }
 
+// gatheredFault returns what is wrong with an answer that another instance gathered, or "" if
+// it can be passed on as complete. The number of parts may differ from the route here, as the
+// other instance may have a newer configuration.
+func gatheredFault(route *Route, in Gathered) string {
+	seen := make(map[string]bool, len(in.Stamps))
+	for _, stamp := range in.Stamps {
+		if stamp == "" || seen[stamp] {
+			return "the gathered answer names a part twice or without a stamp"
+		}
+		seen[stamp] = true
+	}
+	switch parts := len(in.Stamps) + in.Missing; {
+	case len(in.Stamps) == 0 || in.Missing < 0:
+		return "the gathered answer has no parts"
+	case float64(len(in.Stamps)) < route.MinCoverage*float64(parts)-1e-9:
+		return "the gathered answer has less than the minimum coverage"
+	case len(in.Records)%RecordSize != 0 || len(in.Records) > route.TopK*RecordSize:
+		return "the gathered answer has records that its parts can't have"
+	}
+	return ""
+}
+
 // avoidGatherer excludes an instance that failed from delegation for a while. A
 // refusal (OutcomeShed) is not a failure.
 func (g *Gateway) avoidGatherer(m *member, in AttemptEnded) {
--- a/core/gateway/gatherers_test.go
+++ b/core/gateway/gatherers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"testing"
 	"time"
 )
@@ -269,3 +270,24 @@
 		t.Errorf("got %d instances that share the limits of a plain service, want all 31", got)
 	}
 }
+
+// Guards against an answer of another instance that is cut off or malformed, and reaches the
+// caller as a complete success.
+func TestMalformedGatheredAnswerIsNotASuccess(t *testing.T) {
+	for name, gathered := range map[string]Gathered{
+		"no parts":                {Missing: 8},
+		"part without a stamp":    {Stamps: []string{"x", "", "z", "v"}, Missing: 4},
+		"part named twice":        {Stamps: []string{"x", "y", "x", "v"}, Missing: 4},
+		"too few parts":           {Stamps: []string{"x", "y", "z"}, Missing: 5},
+		"part of a record":        {Stamps: []string{"x", "y", "z", "v"}, Missing: 4, Records: record(1)[:9]},
+		"more records than asked": {Stamps: []string{"x", "y", "z", "v"}, Missing: 4, Records: bytes.Repeat(record(1), 4)},
+		"negative missing":        {Stamps: []string{"x"}, Missing: -1},
+	} {
+		h := newHarnessFarFromShards(t, 2)
+		id := h.request("/g/x", time.Second)
+		h.step(AttemptEnded{Attempt: h.delegated[0].Attempt, Outcome: OutcomeSuccess, Configuration: 1, Gathered: gathered})
+		if a := h.answers[id]; a.Kind != AnswerFailed {
+			t.Errorf("%s: answered %v, want failed", name, a.Kind)
+		}
+	}
+}
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -232,8 +232,7 @@
 
 // entryRemoved handles the removal of a target's entry. During an outage of the store
 // the entries of live targets lapse too, so a ready target stays in use until
-// lapseGrace after the store last returned, or after the removal if the store has not
-// returned yet from its first outage.
+// lapseGrace after the store has returned.
 func (g *Gateway) entryRemoved(id model.TargetID) {
 	t := g.targets[id]
 	if t == nil {
@@ -241,15 +240,7 @@
 	}
 	if t.lapsedAt == 0 && t.State == TargetReady && g.storeRecentlyLost() {
 		t.lapsedAt = g.now
-		wait := lapseGrace
-		if g.store.returnedAt > 0 {
-			wait = g.store.returnedAt + lapseGrace - g.now
-		}
-		g.after(wait, func() {
-			if g.targets[id] == t && t.lapsedAt != 0 {
-				g.removeTarget(t)
-			}
-		})
+		g.removeLapsed(t)
 		return
 	}
 	if t.lapsedAt == 0 {
@@ -257,6 +248,20 @@
 	}
 }
 
+// removeLapsed removes a target whose entry lapsed, once lapseGrace has passed since the store
+// returned, unless the entry is back by then.
+func (g *Gateway) removeLapsed(t *target) {
+	switch {
+	case g.targets[t.ID] != t || t.lapsedAt == 0:
+	case g.store.lost:
+		g.after(lapseGrace, func() { g.removeLapsed(t) })
+	case g.store.returnedWithin(g.now, lapseGrace):
+		g.after(g.store.returnedAt+lapseGrace-g.now, func() { g.removeLapsed(t) })
+	default:
+		g.removeTarget(t)
+	}
+}
+
 // storeRecentlyLost reports whether the store does not answer or returned less than
 // lapseGrace ago.
 func (g *Gateway) storeRecentlyLost() bool {
@@ -310,6 +315,7 @@
 		t.recordFailure(g.now, 0.5)
 	case OutcomeMisdirected:
 		t.gone = true
+		g.gather.places = nil
 		g.emit(Event{Name: "TargetReplaced", Subject: string(t.ID), Before: t.Address, After: "address taken by another target", Warning: true})
 	case OutcomeBroken:
 		t.recordFailure(g.now, 1)
