platform, core/gateway: a restarted process uses nothing that was withdrawn

Cause: a process that restarts first reads the store with stale answers, which may be seconds old, and used them until its first watch: servers that had left or drained, withdrawn evacuations and replaced configurations. If another instance answered first, it went on with that instance's state for up to 0.8 s although others reported a later one.

Shortly after the start an instance whose state comes from another one fetches each later state that it hears of at once.

--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -284,8 +284,9 @@
 
 // fetchIfBehind fetches the store's content from a member that knows a later state if
 // this instance's source has not delivered that state within sourceBehindAfter, or at
-// once while the store is lost or not known yet. It fetches at most once per half
-// gossipInterval.
+// once while the store is lost or not known yet. It also does so at once shortly after the
+// start if it has its state from another member, as that member may itself be behind. It
+// fetches at most once per half gossipInterval, and more often shortly after the start.
 func (g *Gateway) fetchIfBehind(s MemberState) {
 	own, m := g.self(), g.members.byName[s.Name]
 	if s.Revision <= own.Revision && s.Configuration <= own.Configuration {
@@ -295,8 +296,13 @@
 	if m.aheadSince == 0 {
 		m.aheadSince = g.now
 	}
-	due := g.store.lost || !g.store.known || g.now-m.aheadSince > sourceBehindAfter
-	if !due || (g.members.fetchedAt > 0 && g.now-g.members.fetchedAt < gossipInterval/2) {
+	starting := g.store.relayed && g.now-g.startedAt < sourceStartDelay
+	interval := gossipInterval / 2
+	if starting {
+		interval = gathererSearchInterval
+	}
+	due := g.store.lost || !g.store.known || starting || g.now-m.aheadSince > sourceBehindAfter
+	if !due || (g.members.fetchedAt > 0 && g.now-g.members.fetchedAt < interval) {
 		return
 	}
 	g.members.fetchedAt = g.now
--- a/core/gateway/source_test.go
+++ b/core/gateway/source_test.go
@@ -339,3 +339,22 @@
 		t.Errorf("sent %d messages after a second failure right after the first, want none", len(h.states))
 	}
 }
+
+// Guards against a restarted instance that goes on with the older state of the member that
+// answered it first: it fetches each later state that it hears of at once.
+func TestRestartedInstanceFetchesLaterStatesAtOnce(t *testing.T) {
+	h := newHarness(t)
+	behind, ahead := otherMember(0), otherMember(1)
+	behind.Revision, ahead.Revision, ahead.Configuration = 5, 9, 2
+	h.receiveState(behind)
+	if len(h.fetches) != 1 || h.fetches[0].From != behind.Address {
+		t.Fatalf("got fetches %v, want one from the first member", h.fetches)
+	}
+	h.run(100 * ms)
+	h.step(ConfigurationRead{&Configuration{Version: 1, Routes: []Route{plainRoute(true)}}},
+		StoreRead{Revision: 5, Complete: true, Relayed: true, Targets: readyTargets("s", 1)})
+	h.receiveState(ahead)
+	if len(h.fetches) != 2 || h.fetches[1].From != ahead.Address {
+		t.Errorf("got fetches %v, want a second one from the member with the later state at once", h.fetches)
+	}
+}
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -70,6 +70,7 @@
 // storeState is what is known of the platform's store.
 type storeState struct {
 	known    bool // whether a complete read has arrived
+	relayed  bool // whether the last read came from another instance
 	revision uint64
 	// answeredAt is when the store last answered this instance or its source.
 	answeredAt time.Duration
@@ -111,7 +112,7 @@
 	if in.Revision < g.store.revision || (in.Relayed && in.Revision == g.store.revision) {
 		return
 	}
-	g.store.revision = in.Revision
+	g.store.revision, g.store.relayed = in.Revision, in.Relayed
 	g.gather.places = nil
 	if in.Complete {
 		g.replaceAll(in)
--- a/core/gateway/targets_test.go
+++ b/core/gateway/targets_test.go
@@ -35,6 +35,26 @@
 	}
 }
 
+// Guards against live targets that are given up in a second outage: entries that lapse then
+// also stay in use, during the whole outage and until lapseGrace after it.
+func TestEntriesLapsedInASecondOutageStayInUse(t *testing.T) {
+	h := newHarness(t)
+	h.publish(1, readyTargets("s", 1), plainRoute(true))
+	h.step(StoreFailed{Cause: "refused"})
+	h.step(StoreAnswered{})
+	h.run(2 * lapseGrace)
+	h.step(StoreFailed{Cause: "refused"}, StoreRead{Revision: 2, Removed: []model.TargetID{"s-0"}})
+	h.run(2 * lapseGrace)
+	if id := h.request("/p/x", time.Second); len(h.sentTo(id)) != 1 {
+		t.Error("a target whose entry lapsed in the second outage got no request, want one")
+	}
+	h.step(StoreAnswered{})
+	h.run(lapseGrace + 100*ms)
+	if id := h.request("/p/x", time.Second); len(h.sentTo(id)) != 0 {
+		t.Error("a target whose entry did not come back got a request after lapseGrace, want none")
+	}
+}
+
 // Guards against use of a removed target: while the store answers, a removal applies at
 // once.
 func TestRemovalAppliesAtOnceWhileStoreAnswers(t *testing.T) {
--- a/node/cmd/galenadyked/gateway.go
+++ b/node/cmd/galenadyked/gateway.go
@@ -37,8 +37,8 @@
 func platformAdapter() gateway.Platform {
 	return gateway.Platform{
 		Protocol: platform.Protocol{},
-		OpenStore: func(address string, submit func(core.Input) bool, log gateway.Log) gateway.Store {
-			return platform.NewStore(address, submit, log)
+		OpenStore: func(address string, firstStart bool, submit func(core.Input) bool, log gateway.Log) gateway.Store {
+			return platform.NewStore(address, firstStart, submit, log)
 		},
 	}
 }
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -67,7 +67,8 @@
 type Platform struct {
 	Protocol Protocol
 	// OpenStore returns the store at the address. The store passes its changes to submit.
-	OpenStore func(address string, submit func(gateway.Input) bool, log Log) Store
+	// firstStart means that the whole system starts for the first time.
+	OpenStore func(address string, firstStart bool, submit func(gateway.Input) bool, log Log) Store
 }
 
 // Daemon is an instance of the tier.
@@ -208,7 +209,7 @@
 	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), bodies: d.bodies, bootTime: d.clock.Boot,
 		overBound: d.answerOverBound}
 	d.state = &stateLink{socket: socket, submit: submit, log: d.log}
-	d.store = p.OpenStore(s.Store, submit, d.log)
+	d.store = p.OpenStore(s.Store, s.FirstStart, submit, d.log)
 	d.peers = &peerServer{store: d.store, callers: d.callers, stopping: make(chan struct{})}
 	d.peerServer = newPeerServer(d.peers)
 	return nil
--- a/node/gateway/daemon_test.go
+++ b/node/gateway/daemon_test.go
@@ -66,8 +66,8 @@
 	s.CallerListen, s.ReadyListen, s.ControlListen, s.PeerListen = ip+":8000", ip+":8001", ip+":8002", ip+":8003"
 	adjust(&s)
 	d, err := gateway.New(s, gateway.Platform{Protocol: platform.Protocol{},
-		OpenStore: func(address string, submit func(core.Input) bool, log gateway.Log) gateway.Store {
-			return platform.NewStore(address, submit, log)
+		OpenStore: func(address string, firstStart bool, submit func(core.Input) bool, log gateway.Log) gateway.Store {
+			return platform.NewStore(address, firstStart, submit, log)
 		}}, io.Discard)
 	if err != nil {
 		t.Fatal(err)
--- a/node/settings/gateway.go
+++ b/node/settings/gateway.go
@@ -38,6 +38,9 @@
 	Seeds []string `json:"seeds"`
 	// Store is the IP address and port of the platform's store.
 	Store string `json:"store"`
+	// FirstStart is set when the whole system starts for the first time. It saves a call
+	// to the store: nothing that the store may still answer can have been withdrawn.
+	FirstStart bool `json:"first_start"`
 	// RetryRatio, RetryWindow and RetrySlack bound the attempts beyond the first
 	// of each request. In any period of RetryWindow, all instances together send
 	// at most RetryRatio x requests + RetrySlack such attempts to each service.
@@ -111,6 +114,7 @@
 		"instance": &s.Instance, "place": &s.Place,
 		"caller_listen": &s.CallerListen, "ready_listen": &s.ReadyListen, "ready_path": &s.ReadyPath,
 		"control_listen": &s.ControlListen, "metrics_listen": &s.MetricsListen, "peer_listen": &s.PeerListen, "seeds": &s.Seeds, "store": &s.Store,
+		"first_start": &s.FirstStart,
 		"retry_ratio": &s.RetryRatio, "retry_window": &s.RetryWindow, "retry_slack": &s.RetrySlack,
 		"cold_overshoot": &s.ColdOvershoot, "cold_slack": &s.ColdSlack,
 		"stop_timeout": &s.StopTimeout, "capacity": &s.Capacity, "memory_mb": &s.MemoryMB, "log_level": &s.LogLevel,
