node/gateway: a panic ends one attempt, message or call, not the process

Cause: attempts, delegated requests, state messages and calls of other instances run on goroutines without a recover, so one unexpected error there ended the whole process.

Such a panic is logged with its stack, counted (gateway_panics), and the attempt or call fails as one that may have run. A panic of the core still ends the process, as its state can't be trusted.

--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -208,10 +208,10 @@
 	d.peerListener = listeners[3]
 	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), bodies: d.bodies, bootTime: d.clock.Boot,
 		overBound: d.answerOverBound}
-	d.state = &stateLink{socket: socket, submit: submit, log: d.log}
+	d.state = &stateLink{socket: socket, submit: submit, log: d.log, protect: d.protect}
 	d.store = p.OpenStore(s.Store, s.FirstStart, submit, d.log)
 	d.peers = &peerServer{store: d.store, callers: d.callers, stopping: make(chan struct{})}
-	d.peerServer = newPeerServer(d.peers)
+	d.peerServer = newPeerServer(d.peers, grpc.UnaryInterceptor(d.protectUnary), grpc.StreamInterceptor(d.protectStream))
 	return nil
 }
 
@@ -359,7 +359,10 @@
 	d.addCancel(out.Attempt, a.cancel)
 	d.metrics.AttemptSent()
 	go func() {
-		ended, rep := d.upstream.do(a)
+		// The outcome of an attempt that panics.
+		ended := gateway.AttemptEnded{Attempt: out.Attempt, Outcome: gateway.OutcomeBroken, Cause: "internal error of this instance"}
+		var rep *reply
+		d.protect("attempt", func() { ended, rep = d.upstream.do(a) })
 		d.removeCancel(out.Attempt)
 		if rep != nil {
 			req.keepReply(out.Attempt, rep, !out.Gather)
--- a/node/gateway/daemon_test.go
+++ b/node/gateway/daemon_test.go
@@ -56,19 +56,31 @@
 	return f
 }
 
-// startDaemon starts an instance in a data centre and returns it with its settings. adjust, which
-// must not be nil, changes the settings before the start.
-func startDaemon(t *testing.T, name, place, storeURL string, adjust func(*settings.Gateway)) (*gateway.Daemon, settings.Gateway) {
-	t.Helper()
+// testPlatform returns the adapter of the users' platform.
+func testPlatform() gateway.Platform {
+	return gateway.Platform{Protocol: platform.Protocol{},
+		OpenStore: func(address string, firstStart bool, submit func(core.Input) bool, log gateway.Log) gateway.Store {
+			return platform.NewStore(address, firstStart, submit, log)
+		}}
+}
+
+// daemonSettings returns the settings of an instance in a data centre, with addresses that no
+// other test uses. adjust changes them.
+func daemonSettings(name, place, storeURL string, adjust func(*settings.Gateway)) settings.Gateway {
 	s := settings.GatewayDefaults()
 	s.Instance, s.Place, s.Store = name, place, strings.TrimPrefix(storeURL, "http://")
 	ip := ownAddress()
 	s.CallerListen, s.ReadyListen, s.ControlListen, s.PeerListen = ip+":8000", ip+":8001", ip+":8002", ip+":8003"
 	adjust(&s)
-	d, err := gateway.New(s, gateway.Platform{Protocol: platform.Protocol{},
-		OpenStore: func(address string, firstStart bool, submit func(core.Input) bool, log gateway.Log) gateway.Store {
-			return platform.NewStore(address, firstStart, submit, log)
-		}}, io.Discard)
+	return s
+}
+
+// startDaemon starts an instance in a data centre and returns it with its settings. adjust
+// changes the settings before the start.
+func startDaemon(t *testing.T, name, place, storeURL string, adjust func(*settings.Gateway)) (*gateway.Daemon, settings.Gateway) {
+	t.Helper()
+	s := daemonSettings(name, place, storeURL, adjust)
+	d, err := gateway.New(s, testPlatform(), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -69,8 +69,8 @@
 	d.addCancel(out.Batch, cancel)
 	traceparent, endSpan := d.spans.StartForwarding(req.traceparent, out)
 	go func() {
-		ended := gateway.BatchEnded{Batch: out.Batch}
-		ended.Outcome, ended.Cause = d.forwardThrough(ctx, out, req, traceparent)
+		ended := gateway.BatchEnded{Batch: out.Batch, Outcome: gateway.OutcomeBroken, Cause: "internal error of this instance"}
+		d.protect("forward", func() { ended.Outcome, ended.Cause = d.forwardThrough(ctx, out, req, traceparent) })
 		endSpan(ended.Outcome)
 		d.removeCancel(out.Batch)
 		cancel()
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -78,8 +78,8 @@
 }
 
 // newPeerServer returns a gRPC server that passes calls to s.
-func newPeerServer(s *peerServer) *grpc.Server {
-	server := peer.NewGRPCServer(maxPeerMessageBytes, grpc.WriteBufferSize(peerWriteBufferBytes))
+func newPeerServer(s *peerServer, opts ...grpc.ServerOption) *grpc.Server {
+	server := peer.NewGRPCServer(maxPeerMessageBytes, append(opts, grpc.WriteBufferSize(peerWriteBufferBytes))...)
 	gatewaypb.RegisterGatewayServer(server, s)
 	return server
 }
@@ -125,7 +125,8 @@
 	d.addCancel(out.Attempt, cancel)
 	traceparent, endSpan := d.spans.StartDelegation(req.traceparent, out)
 	go func() {
-		ended := d.gatherAt(ctx, out, req, traceparent)
+		ended := gateway.AttemptEnded{Attempt: out.Attempt, Outcome: gateway.OutcomeBroken, Cause: "internal error of this instance"}
+		d.protect("delegate", func() { ended = d.gatherAt(ctx, out, req, traceparent) })
 		endSpan(ended.Outcome)
 		d.removeCancel(out.Attempt)
 		cancel()
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -20,6 +20,8 @@
 	socket net.PacketConn
 	submit func(gateway.Input) bool
 	log    Log
+	// protect calls f for one message and survives a panic in it.
+	protect func(task string, f func()) (panicked bool)
 }
 
 // errNoSender is the error of a state message without a sender.
@@ -36,21 +38,27 @@
 		if err != nil {
 			return // the socket is closed
 		}
-		var in gatewaypb.State
-		if n > maxStateMessageBytes {
-			err = errStateTooLong
-		} else {
-			err = proto.Unmarshal(buf[:n], &in)
-		}
-		if err == nil && in.GetSender().GetName() == "" {
-			err = errNoSender
-		}
-		if err != nil {
-			s.log.FrameRefused(model.InstanceID(from.String()), fmt.Errorf("not a state message: %w", err))
-			continue
-		}
-		s.submit(gateway.StateReceived{State: decodeState(&in)})
+		s.protect("state message", func() { s.receive(buf[:n], from) })
+	}
+}
+
+// receive submits a received message to the core, or logs why it can't be used.
+func (s *stateLink) receive(raw []byte, from net.Addr) {
+	var in gatewaypb.State
+	var err error
+	if len(raw) > maxStateMessageBytes {
+		err = errStateTooLong
+	} else {
+		err = proto.Unmarshal(raw, &in)
+	}
+	if err == nil && in.GetSender().GetName() == "" {
+		err = errNoSender
+	}
+	if err != nil {
+		s.log.FrameRefused(model.InstanceID(from.String()), fmt.Errorf("not a state message: %w", err))
+		return
 	}
+	s.submit(gateway.StateReceived{State: decodeState(&in)})
 }
 
 // send sends a message. A message that can't be sent is logged and treated as lost on
--- a/node/gateway/state_test.go
+++ b/node/gateway/state_test.go
@@ -28,7 +28,8 @@
 	defer socket.Close()
 	refused := refusedFrames{make(chan error, 1)}
 	received := make(chan gateway.Input, 1)
-	link := &stateLink{socket: socket, log: refused, submit: func(in gateway.Input) bool { received <- in; return true }}
+	link := &stateLink{socket: socket, log: refused, submit: func(in gateway.Input) bool { received <- in; return true },
+		protect: func(_ string, f func()) bool { f(); return false }}
 	go link.run()
 	conn, err := net.Dial("udp", socket.LocalAddr().String())
 	if err != nil {
--- a/node/telemetry/gateway.go
+++ b/node/telemetry/gateway.go
@@ -31,6 +31,7 @@
 	{"gateway_callers_left", "requests", "Requests whose caller closed its connection before the answer."},
 	{"gateway_unread", "requests", "Requests from callers that could not be read, by cause."},
 	{"gateway_over_bound", "answers", "Answers of targets that were ended because they exceeded a bound, by bound: head, informational, body or memory."},
+	{"gateway_panics", "panics", "Panics that ended one attempt, message or call, by task. Each is a fault of the program."},
 	{"gateway_events", "events", "State changes of the core, by name, whether logged or not."},
 	{"gateway_not_ready", "0 or 1", "1 while the balancer should send callers to other instances, 0 while the instance is ready."},
 	{"log_lines_dropped", "lines", "Log lines dropped because of the rate limit of their name or a slow reader of the log."},
@@ -76,7 +77,7 @@
 type GatewayMetrics struct {
 	root                                                               expvar.Map
 	answers, routeAnswers, attempts, events                            *expvar.Map
-	unread, delegated, forwarded, serviceAttempts, overBound           *expvar.Map
+	unread, delegated, forwarded, serviceAttempts, overBound, panics   *expvar.Map
 	attemptsSent, connectionsOpened, callersLeft, logDropped, notReady *expvar.Int
 
 	mu        sync.Mutex                         // guards the fields below
@@ -116,7 +117,7 @@
 	m.answers, m.routeAnswers = newMap("gateway_answers"), newMap("gateway_route_answers")
 	m.attempts, m.events, m.unread = newMap("gateway_attempts"), newMap("gateway_events"), newMap("gateway_unread")
 	m.delegated, m.forwarded, m.serviceAttempts = newMap("gateway_delegated"), newMap("gateway_forwarded"), newMap("gateway_service_attempts")
-	m.overBound = newMap("gateway_over_bound")
+	m.overBound, m.panics = newMap("gateway_over_bound"), newMap("gateway_panics")
 	m.attemptsSent, m.connectionsOpened = newInt("gateway_attempts_sent"), newInt("gateway_connections_opened")
 	m.callersLeft, m.logDropped, m.notReady = newInt("gateway_callers_left"), newInt("log_lines_dropped"), newInt("gateway_not_ready")
 	m.root.Set("gateway_route_latency_ms", expvar.Func(func() any { return m.latencyQuantiles() }))
@@ -231,6 +232,9 @@
 // OverBound counts an answer of a target that exceeded a bound.
 func (m *GatewayMetrics) OverBound(bound string) { m.overBound.Add(bound, 1) }
 
+// PanicRecovered counts a panic that ended only the task in which it happened.
+func (m *GatewayMetrics) PanicRecovered(task string) { m.panics.Add(task, 1) }
+
 // EventSeen counts a state change of the core, whether it is logged or not.
 func (m *GatewayMetrics) EventSeen(name string) { m.events.Add(name, 1) }
 
