core/gateway, node/gateway: fuzzing of all inputs of the gateway

Cause: only the codecs of the own interface and the entries of the store were fuzzed; nothing showed that a message from outside can't end the process.

`make fuzz` runs all fuzzers.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GENERATORS := $(GOBIN)/buf $(GOBIN)/protoc-gen-go $(GOBIN)/protoc-gen-go-grpc
 export CGO_ENABLED := 1
 
-.PHONY: build test lint fmt-check demo bench gen soak
+.PHONY: build test lint fmt-check demo bench gen soak fuzz
 
 build:
 	go build -o bin/galenadyked ./node/cmd/galenadyked
@@ -52,3 +52,15 @@
 MINUTES ?= 1
 soak: build
 	bin/testbed-soak -seed $(SEED) -seeds $(SEEDS) -minutes $(MINUTES)
+
+# Fuzzes each decoder and reader for FUZZTIME, and the inputs of the gateway's core.
+FUZZTIME ?= 1m
+fuzz:
+	go test ./core/gateway -run TestNoInputPanics -rapid.checks=100000
+	go test ./core/objects -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	go test ./core/trace -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME)
+	go test ./platform -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	go test ./node/backend -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	go test ./node/peer -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	go test ./node/gateway -run '^$$' -fuzz FuzzReply -fuzztime $(FUZZTIME)
+	go test ./node/gateway -run '^$$' -fuzz FuzzPeerMessages -fuzztime $(FUZZTIME)
