core/gateway: forwarders that work are not avoided

Change: a forwarder is excluded if it says that it stops, or if it has replied to no batch since one was sent whose request should be answered by now.

Test: TestWorkingForwarderIsNotAvoided; two of its four cases fail without the change.

--- a/core/gateway/batch.go
+++ b/core/gateway/batch.go
@@ -31,8 +31,7 @@
 	forwarder *member
 	// attempts has nil in the place of each attempt that has ended.
 	attempts []*attempt
-	// replied is set once the forwarder has sent a reply.
-	replied bool
+	sentAt   time.Duration
 }
 
 // collectAttempt holds back an attempt until sendCollected. It reports false if the
@@ -87,7 +86,7 @@
 // sendBatch sends attempts through a forwarder.
 func (g *Gateway) sendBatch(r *request, m *member, attempts []*attempt) {
 	g.lastID++
-	b := &batch{id: g.lastID, request: r, forwarder: m, attempts: attempts}
+	b := &batch{id: g.lastID, request: r, forwarder: m, attempts: attempts, sentAt: g.now}
 	g.batches[b.id] = b
 	r.batches = append(r.batches, b)
 	m.forwarding++
@@ -156,11 +155,12 @@
 	return false
 }
 
-// checkForwarder excludes the forwarder of a batch of several attempts that has had no reply
-// when its request should be answered. Its attempts continue, and are hedged if need be.
+// checkForwarder excludes the forwarder of a batch if it has not replied to any batch since
+// this one was sent, although its request should be answered by now. Its attempts continue,
+// and are hedged if need be.
 func (g *Gateway) checkForwarder(b *batch) {
-	if g.batches[b.id] != nil && !b.replied && len(b.attempts) > 1 {
-		g.avoidForwarder(b.forwarder, "no reply in time")
+	if m := b.forwarder; g.batches[b.id] != nil && m.repliedAt < b.sentAt && len(b.attempts) > 1 {
+		g.avoidForwarder(m, "no reply in time")
 	}
 }
 
@@ -182,7 +182,7 @@
 		g.endBatch(b, OutcomeBroken, fault)
 		return
 	}
-	b.replied = true
+	b.forwarder.repliedAt = g.now
 	r := b.request
 	ended := make([]*attempt, len(in.Ends))
 	refused := 0
@@ -195,8 +195,8 @@
 	if refused > 0 && !r.ended {
 		g.recordStep(r, "refused", string(b.forwarder.Name), "%d of %d parts, which are sent directly", refused, len(b.attempts))
 	}
-	if refused == len(b.attempts) {
-		g.avoidForwarder(b.forwarder, "it refused the whole batch")
+	if in.Stopping {
+		g.avoidForwarder(b.forwarder, "the instance stops")
 	}
 	// The records are those of all successful attempts of the reply, so their parts are
 	// answered before anything is decided from the state of the request.
@@ -393,7 +393,7 @@
 	if len(f.ends) == 0 || r.ended {
 		return
 	}
-	g.emit(ReplyBatch{Request: r.id, Ends: f.ends, Records: greatestRecords(f.records, r.route.TopK), Done: f.open == 0})
+	g.emit(ReplyBatch{Request: r.id, Ends: f.ends, Records: greatestRecords(f.records, r.route.TopK), Stopping: g.stop.begun, Done: f.open == 0})
 	f.ends, f.records = nil, nil
 	r.ended = f.open == 0
 }
--- a/core/gateway/batch_test.go
+++ b/core/gateway/batch_test.go
@@ -380,3 +380,34 @@
 		t.Errorf("got %d ends, stopped %v, want all 8 with attempt 3 timed out, the last reply done, and the instance stopped", len(ends), h.stopped)
 	}
 }
+
+// Guards against forwarders that are excluded although they work: one that refuses the only
+// attempt of a batch because its connections to the target are in use, or whose targets are
+// slow while it replies to other batches. One that stops is excluded.
+func TestWorkingForwarderIsNotAvoided(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply func(SendBatch) BatchReplied
+		want  bool // avoided
+	}{
+		"refused": {func(b SendBatch) BatchReplied {
+			return BatchReplied{Batch: b.Batch, Ends: []BatchEnd{{Index: 0, Refused: true}}}
+		}, false},
+		"slow targets": {func(b SendBatch) BatchReplied {
+			return BatchReplied{Batch: b.Batch, Ends: []BatchEnd{succeeded(0, "x")}}
+		}, false},
+		"stopping": {func(b SendBatch) BatchReplied {
+			return BatchReplied{Batch: b.Batch, Stopping: true, Ends: []BatchEnd{{Index: 0, Refused: true}}}
+		}, true},
+		"silent": {func(SendBatch) BatchReplied { return BatchReplied{} }, true},
+	} {
+		h := newHarnessWithForwarder(t, 8, 1)
+		h.delegatedRequest()
+		h.run(5 * ms)
+		h.delegatedRequest()
+		h.step(c.reply(h.batches[1]))
+		h.run(200 * ms) // past the objectives
+		if got := h.sawEvent("ForwarderAvoided", "m01"); got != c.want {
+			t.Errorf("%s: avoided is %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -169,6 +169,8 @@
 	Ends  []BatchEnd
 	// Records are the greatest records of the successful attempts in Ends.
 	Records []byte
+	// Stopping means that the forwarder is about to stop.
+	Stopping bool
 }
 
 // BatchEnded reports the end of a SendBatch. Exactly one follows each SendBatch, after all
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -51,9 +51,9 @@
 	// delegated counts the requests that the member gathers for this instance now.
 	delegated int
 	// forwarding counts the batches that the member forwards for this instance now. It
-	// gets none before noForwardUntil.
-	forwarding     int
-	noForwardUntil time.Duration
+	// last replied to one at repliedAt, and gets none before noForwardUntil.
+	forwarding                int
+	repliedAt, noForwardUntil time.Duration
 	// probedAt is the time of the last probe, silentSince that of the first probe since the
 	// last message from the member itself.
 	probedAt, silentSince time.Duration
--- a/core/gateway/output.go
+++ b/core/gateway/output.go
@@ -55,10 +55,11 @@
 // ReplyBatch reports ends of attempts to the instance that sent the batch. Done is set in
 // the last one.
 type ReplyBatch struct {
-	Request RequestID
-	Ends    []BatchEnd
-	Records []byte
-	Done    bool
+	Request  RequestID
+	Ends     []BatchEnd
+	Records  []byte
+	Stopping bool // whether this instance is about to stop
+	Done     bool
 }
 
 // FollowStore selects the source of the store's changes: the store itself or
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -129,7 +129,7 @@
 }
 
 func encodeForwardReply(out gateway.ReplyBatch) *gatewaypb.ForwardReply {
-	reply := &gatewaypb.ForwardReply{Records: out.Records}
+	reply := &gatewaypb.ForwardReply{Records: out.Records, Stopping: out.Stopping}
 	for _, end := range out.Ends {
 		e := &gatewaypb.ForwardedEnd{Index: uint32(end.Index), Refused: end.Refused}
 		if !end.Refused {
@@ -150,7 +150,7 @@
 }
 
 func decodeForwardReply(batch gateway.AttemptID, in *gatewaypb.ForwardReply) gateway.BatchReplied {
-	out := gateway.BatchReplied{Batch: batch, Records: in.GetRecords()}
+	out := gateway.BatchReplied{Batch: batch, Records: in.GetRecords(), Stopping: in.GetStopping()}
 	for _, e := range in.GetEnds() {
 		end := gateway.BatchEnd{Index: int(e.GetIndex()), Refused: e.GetRefused()}
 		end.End = gateway.AttemptEnded{Outcome: gateway.Outcome(min(e.GetOutcome(), maxOutcomeByte)), Status: int(e.GetStatus()),
--- a/node/gateway/forward_codec_test.go
+++ b/node/gateway/forward_codec_test.go
@@ -17,8 +17,8 @@
 			Reused: true, Load: gateway.Load{Running: 1, Waiting: 2, Slots: 3}, HasLoad: true}},
 		{Index: 1, End: gateway.AttemptEnded{Outcome: gateway.OutcomeBroken, Took: time.Second, Cause: "reset", HasCold: true}},
 	}
-	want := gateway.BatchReplied{Batch: 7, Ends: ends, Records: []byte("0123456789abcdef")}
-	got := decodeForwardReply(7, encodeForwardReply(gateway.ReplyBatch{Ends: ends, Records: want.Records, Done: true}))
+	want := gateway.BatchReplied{Batch: 7, Ends: ends, Records: []byte("0123456789abcdef"), Stopping: true}
+	got := decodeForwardReply(7, encodeForwardReply(gateway.ReplyBatch{Ends: ends, Records: want.Records, Stopping: true, Done: true}))
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("decoded reply (-want +got):\n%s", diff)
 	}
