core/gateway: attempts at overloaded targets go directly for a second

The forwarder of an overloaded target has all its connections to it in use and refuses, so each part of just the shards that are late already took a round trip more. And the time that the forwarder measured leaves out what forwarding adds, so hedges of parts that had ended were sent, and used the budget for those that needed one (172 ms to the hedge of a slow part of an objective of 180 ms).

Change: after a refusal, attempts at the target are sent directly for 1 s. The time of a forwarded attempt is measured by its sender, as that of a direct one.

--- a/core/gateway/batch.go
+++ b/core/gateway/batch.go
@@ -35,11 +35,11 @@
 }
 
 // collectAttempt holds back an attempt until sendCollected. It reports false if the
-// attempt has to be sent directly, because it is not for another data centre or the route
-// does not gather.
+// attempt has to be sent directly, because it is not for another data centre, the route does
+// not gather, or a forwarder had no connection to the target left a moment ago.
 func (g *Gateway) collectAttempt(a *attempt) bool {
 	r := a.request
-	if len(r.route.Shards) == 0 || r.forward != nil || a.target.Place == g.cfg.Place {
+	if len(r.route.Shards) == 0 || r.forward != nil || a.target.Place == g.cfg.Place || a.target.directUntil > g.now {
 		return false
 	}
 	if r.collected == nil {
@@ -190,6 +190,7 @@
 		ended[i], b.attempts[end.Index] = b.attempts[end.Index], nil
 		if end.Refused {
 			refused++
+			ended[i].target.directUntil = g.now + directAfterRefusal
 		}
 	}
 	if refused > 0 && !r.ended {
--- a/core/gateway/batch_test.go
+++ b/core/gateway/batch_test.go
@@ -53,7 +53,7 @@
 
 // succeeded returns the successful end of the attempt at index i of a batch.
 func succeeded(i int, stamp string) BatchEnd {
-	return BatchEnd{Index: i, End: AttemptEnded{Outcome: OutcomeSuccess, Status: 200, Reused: true, Took: 5 * ms, Part: Part{Stamp: stamp}}}
+	return BatchEnd{Index: i, End: AttemptEnded{Outcome: OutcomeSuccess, Status: 200, Reused: true, Part: Part{Stamp: stamp}}}
 }
 
 // Guards against a message to each shard across data centres: the attempts in another data
@@ -411,3 +411,22 @@
 		}
 	}
 }
+
+// Guards against a round trip for each attempt at an overloaded target: after a forwarder has
+// refused one, attempts at the target are sent directly for a while.
+func TestTargetsOfRefusedAttemptsAreAskedDirectly(t *testing.T) {
+	h := newHarnessWithForwarder(t, 8, 1)
+	h.delegatedRequest()
+	refused := h.batches[0].Targets[3]
+	h.step(BatchReplied{Batch: h.batches[0].Batch, Ends: []BatchEnd{{Index: 3, Refused: true}}})
+	sent := len(h.sent)
+	h.delegatedRequest()
+	if len(h.sent) != sent+1 || h.sent[sent].Target != refused || len(h.batches) != 2 || len(h.batches[1].Targets) != 7 {
+		t.Errorf("got %d direct attempts, want 1 at %s and 7 in the batch", len(h.sent)-sent, refused)
+	}
+	h.run(directAfterRefusal + ms)
+	h.delegatedRequest()
+	if last := h.batches[len(h.batches)-1]; !slices.Contains(last.Targets, refused) {
+		t.Errorf("the batch has no attempt at %s after directAfterRefusal, want one", refused)
+	}
+}
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -116,9 +116,6 @@
 	// the connection took, 0 if none was opened.
 	Reused  bool
 	Connect time.Duration
-	// Took is the time from the sending of the attempt to its end if another instance
-	// forwarded it, else 0.
-	Took time.Duration
 	// Cause describes a failure for the log.
 	Cause string
 }
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -178,6 +178,11 @@
 	// ended, to report it together with others.
 	maxReportDelay = 8 * time.Millisecond
 
+	// directAfterRefusal is how long attempts at a target are sent directly after a forwarder
+	// refused one. The connections of forwarders are used up while a target is overloaded;
+	// each refusal then costs a round trip at the shards that are late already.
+	directAfterRefusal = time.Second
+
 	// gossipInterval is the time between two rounds of state messages. Each message
 	// has about 700 bytes and is answered, so an instance has about 3 KB/s of control
 	// traffic in a fleet of any size.
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -270,7 +270,6 @@
 	switch {
 	case r.ended:
 	case r.forward != nil:
-		in.Took = g.now - a.sentAt
 		g.forwardedEnded(r, BatchEnd{Index: a.part, End: in})
 	case p.state == partOpen:
 		g.openPartAttemptEnded(r, a, in)
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -53,6 +53,9 @@
 	// 0 if there is none.
 	silentSince time.Duration
 
+	// directUntil is until when attempts are not sent through a forwarder, as one refused.
+	directUntil time.Duration
+
 	load         Load          // last load report
 	loadAt       time.Duration // time of the last load report, 0 if there is none
 	coldRequests recentRequests
@@ -340,10 +343,7 @@
 	if !in.Reused {
 		return
 	}
-	took := in.Took
-	if took == 0 {
-		took = max(0, g.now-a.sentAt-g.roundTrip(a.target.Place))
-	}
+	took := max(0, g.now-a.sentAt-g.roundTrip(a.target.Place))
 	h := g.routeLatency(a.request.route.Name)
 	typical := h.quantile(0.5, defaultServiceTime)
 	h.add(took)
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -135,7 +135,7 @@
 		if !end.Refused {
 			in := end.End
 			e.Outcome, e.Status, e.Stamp, e.Cause = uint32(in.Outcome), uint32(in.Status), in.Part.Stamp, in.Cause
-			e.TookNs, e.Reused = int64(in.Took), in.Reused
+			e.Reused = in.Reused
 			if in.HasLoad {
 				e.Load = &gatewaypb.Load{Running: int32(in.Load.Running), Waiting: int32(in.Load.Waiting), Slots: int32(in.Load.Slots)}
 			}
@@ -154,7 +154,7 @@
 	for _, e := range in.GetEnds() {
 		end := gateway.BatchEnd{Index: int(e.GetIndex()), Refused: e.GetRefused()}
 		end.End = gateway.AttemptEnded{Outcome: gateway.Outcome(min(e.GetOutcome(), maxOutcomeByte)), Status: int(e.GetStatus()),
-			Part: gateway.Part{Stamp: e.GetStamp()}, Cause: e.GetCause(), Took: time.Duration(e.GetTookNs()), Reused: e.GetReused(),
+			Part: gateway.Part{Stamp: e.GetStamp()}, Cause: e.GetCause(), Reused: e.GetReused(),
 			HasLoad: e.Load != nil, ColdFor: time.Duration(e.GetColdForNs()), HasCold: e.ColdForNs != nil}
 		if load := e.GetLoad(); load != nil {
 			end.End.Load = gateway.Load{Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots())}
--- a/node/gateway/fuzz_test.go
+++ b/node/gateway/fuzz_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"net"
 	"testing"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -48,7 +47,7 @@
 
 // FuzzPeerMessages guards against messages of other instances that panic their decoders.
 func FuzzPeerMessages(f *testing.F) {
-	reply, err := proto.Marshal(encodeForwardReply(gateway.ReplyBatch{Ends: []gateway.BatchEnd{{Index: 1, End: gateway.AttemptEnded{HasLoad: true, HasCold: true, Took: time.Second}}}}))
+	reply, err := proto.Marshal(encodeForwardReply(gateway.ReplyBatch{Ends: []gateway.BatchEnd{{Index: 1, End: gateway.AttemptEnded{HasLoad: true, HasCold: true}}}}))
 	if err != nil {
 		f.Fatal(err)
 	}
