testbed/soak: servers that answer without an end, and memory within the setting

Cause: nothing played floods against real processes under the memory that their settings state.

Change: in each phase a tenth of the servers floods (status line, header line, header lines, informational answers, body, chunks), and the resident memory of each instance is checked every 0.1 s against memory_mb, 184 as on the users' smallest machines.

--- a/testbed/soak/deployment.go
+++ b/testbed/soak/deployment.go
@@ -33,6 +33,9 @@
 	drainBound    = 3 * time.Second
 	evacuateBound = 5 * time.Second
 	configBound   = 3 * time.Second
+	// memoryMB is the setting memory_mb of the instances, the memory of the smallest
+	// machines of the users.
+	memoryMB = 184
 	// stopBound is the stated time in which a graceful stop must end.
 	stopBound = 6 * time.Second
 )
@@ -214,6 +217,7 @@
 	s := settings.GatewayDefaults()
 	s.Instance, s.Place, s.Store = in.name, instancePlaces[i%len(instancePlaces)], in.store.address()
 	s.CallerListen, s.ReadyListen, s.ControlListen, s.PeerListen = in.ip+":8000", in.ip+":8001", in.ip+":8002", in.ip+":8003"
+	s.MemoryMB = memoryMB
 	s.Seeds = []string{fmt.Sprintf("127.77.%d.1:8002", addressOctet), fmt.Sprintf("127.77.%d.2:8002", addressOctet)}
 	in.settingsPath = filepath.Join(d.dir, in.name+".json")
 	if err := os.WriteFile(in.settingsPath, s.JSON(), 0o600); err != nil {
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"galenadyke.dev/platform/platformtest"
 )
 
 // Config configures a run.
@@ -56,7 +59,9 @@
 	cfg        Config
 	deployment *deployment
 	rng        *rand.Rand
-	report     *report
+	// floodRNG draws the floods, so that the other faults of a seed stay the same.
+	floodRNG *rand.Rand
+	report   *report
 	// undisturbed is set while no fault is active, so that every request must be
 	// answered.
 	undisturbed atomic.Bool
@@ -75,12 +80,13 @@
 	if err != nil {
 		return Result{}, err
 	}
-	r := &runner{cfg: cfg, deployment: d, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), report: &report{}}
+	r := &runner{cfg: cfg, deployment: d, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), floodRNG: rand.New(rand.NewPCG(cfg.Seed, 2)), report: &report{}}
 	if err := d.waitReady(readyTimeout); err != nil {
 		return Result{}, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	watching := r.watchMemory(ctx)
 	var callers []*caller
 	var running sync.WaitGroup
 	for _, in := range d.instances {
@@ -99,6 +105,7 @@
 	}
 	cancel()
 	running.Wait()
+	<-watching
 	time.Sleep(requestTimeout) // until requests in flight at servers have ended
 	for _, c := range callers {
 		c.checkExecutions()
@@ -115,6 +122,7 @@
 // that they overlap.
 func (r *runner) injectFaults() {
 	kinds := []func(){r.kill, r.terminate, r.freeze, r.sendHUP, r.disturbStore, r.disturbServer, r.shedRequests, r.dropAnswers, r.publish, r.forgetHistory, r.failStore}
+	r.floodAnswers()
 	for range 6 + r.rng.IntN(8) {
 		kinds[r.rng.IntN(len(kinds))]()
 		time.Sleep(time.Duration(r.rng.IntN(400)) * time.Millisecond)
@@ -200,6 +208,67 @@
 	s.SetAbortAnswers(true)
 }
 
+// floods are answers without an end, in the head and in the body.
+var floods = []platformtest.Flood{
+	{Prefix: "HTTP/1.1 200 ", Piece: "x"},
+	{Prefix: "HTTP/1.1 200 OK\r\nX-Long: ", Piece: "x"},
+	{Prefix: "HTTP/1.1 200 OK\r\n", Piece: "X-More: 1\r\n"},
+	{Piece: "HTTP/1.1 100 Continue\r\n\r\n"},
+	{Prefix: "HTTP/1.1 200 OK\r\n\r\n", Piece: "x"},
+	{Prefix: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Piece: "10\r\n0123456789abcdef\r\n"},
+}
+
+// floodAnswers makes a tenth of the servers, at least one, answer without an end.
+func (r *runner) floodAnswers() {
+	ids := slices.Sorted(maps.Keys(r.deployment.servers))
+	for range max(1, len(ids)/10) {
+		s := r.deployment.servers[ids[r.floodRNG.IntN(len(ids))]]
+		n := r.floodRNG.IntN(len(floods))
+		r.log("server %s floods, kind %d", s.ID, n)
+		s.SetFlood(floods[n])
+	}
+}
+
+// memoryCheckInterval is the time between two checks of the memory of the instances.
+const memoryCheckInterval = 100 * time.Millisecond
+
+// watchMemory checks the resident memory of all instances against their setting until ctx
+// ends. The channel is closed then.
+func (r *runner) watchMemory(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		check := time.NewTicker(memoryCheckInterval)
+		defer check.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-check.C:
+			}
+			for _, in := range r.deployment.instances {
+				if mb := residentMB(in.process().PID()); mb > memoryMB {
+					r.report.addViolation("%s has %d MB of resident memory, its setting is %d", in.name, mb, memoryMB)
+				}
+			}
+		}
+	}()
+	return done
+}
+
+// residentMB returns the resident memory of a process, 0 if it has ended.
+func residentMB(pid int) int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(raw), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
 // publish publishes the next configuration.
 func (r *runner) publish() {
 	r.deployment.publish()
@@ -229,6 +298,7 @@
 		s.proxy.setMode(modeForward)
 		s.SetShedding(false)
 		s.SetAbortAnswers(false)
+		s.SetFlood(platformtest.Flood{})
 	}
 	for _, in := range r.deployment.instances {
 		in.store.setMode(modeForward)
