core/gateway: refused attempts of answered parts are not sent; node: two odd signals

Cause: (1) an attempt that a forwarder refused, or did not send, was sent directly although a hedge had answered its part meanwhile: an attempt for nothing. (2) gateway_not_ready was 0 before the first change of readiness. (3) A settings file that can't be read was logged every 2 s.

Change: such attempts are withdrawn; the metric starts at 1; the same read error is reported once.

Tests: TestRefusedAttemptOfAnAnsweredPartIsNotSent (fails without the change), TestUnreadableSettingsAreReportedOnce.

--- a/core/gateway/batch.go
+++ b/core/gateway/batch.go
@@ -205,10 +205,8 @@
 	for i, end := range in.Ends {
 		a := ended[i]
 		switch {
-		case end.Refused && r.ended:
-			g.withdraw(a)
 		case end.Refused:
-			g.sendDirectly(a)
+			g.sendInstead(a)
 		default:
 			end.End.Attempt = a.id
 			g.attemptSettled(a, end.End)
@@ -315,19 +313,26 @@
 		g.recordStep(r, outcome.String(), string(b.forwarder.Name), "%d parts, %s", len(open), cause)
 	}
 	for _, a := range open {
-		switch {
-		case outcome.ran():
+		if outcome.ran() {
 			a.lostWithForwarder = true
 			g.attemptSettled(a, AttemptEnded{Attempt: a.id, Outcome: outcome, Cause: cause})
-		case r.ended:
-			g.withdraw(a)
-		default:
-			g.sendDirectly(a)
+		} else {
+			g.sendInstead(a)
 		}
 	}
 	g.removeIfDone(r)
 }
 
+// sendInstead sends an attempt directly that its forwarder has not sent, or withdraws it if
+// its part needs no answer any more.
+func (g *Gateway) sendInstead(a *attempt) {
+	if a.request.ended || a.request.parts[a.part].state != partOpen {
+		g.withdraw(a)
+		return
+	}
+	g.sendDirectly(a)
+}
+
 // forwarding is the state of a batch that this instance forwards. Its attempts belong to a
 // request with a part for each of them.
 type forwarding struct {
--- a/core/gateway/batch_test.go
+++ b/core/gateway/batch_test.go
@@ -430,3 +430,35 @@
 		t.Errorf("the batch has no attempt at %s after directAfterRefusal, want one", refused)
 	}
 }
+
+// Guards against attempts beyond what an answer needs: an attempt that its forwarder refuses
+// late is not sent directly if a hedge has answered the part meanwhile.
+func TestRefusedAttemptOfAnAnsweredPartIsNotSent(t *testing.T) {
+	h := newHarnessWithForwarder(t, 8, 1)
+	h.delegatedRequest()
+	b := h.batches[0]
+	in := BatchReplied{Batch: b.Batch}
+	for i := 1; i < 8; i++ {
+		in.Ends = append(in.Ends, succeeded(i, fmt.Sprint("stamp", i)))
+	}
+	h.targets[h.other(b.Targets[0])] = answersAfter(ms)
+	h.targets[h.other(b.Targets[1])] = neverAnswers
+	in.Ends = in.Ends[1:] // parts 0 and 1 are hedged, and only the hedge of part 0 is answered
+	h.step(in)
+	h.run(90 * ms)
+	sent := len(h.sent)
+	h.step(BatchReplied{Batch: b.Batch, Ends: []BatchEnd{{Index: 0, Refused: true}, {Index: 1, Refused: true}}})
+	if got := h.sent[sent:]; len(got) != 1 || got[0].Target != b.Targets[1] {
+		t.Errorf("got direct attempts %+v, want one at %s, whose part is open", got, b.Targets[1])
+	}
+}
+
+// other returns the other target of a target's shard.
+func (h *harness) other(id model.TargetID) model.TargetID {
+	for _, t := range h.g.service(h.g.targets[id].Service).targets {
+		if t.ID != id {
+			return t.ID
+		}
+	}
+	return ""
+}
--- a/node/gateway/run.go
+++ b/node/gateway/run.go
@@ -79,6 +79,8 @@
 type settingsFile struct {
 	path string
 	last []byte // content at the last read
+	// lastError is the error of the last read, empty if it succeeded.
+	lastError string
 }
 
 // read reads and checks the file. changed is false if the content is that of the last
@@ -86,8 +88,11 @@
 func (f *settingsFile) read() (s settings.Gateway, findings []settings.Finding, changed bool) {
 	raw, err := os.ReadFile(f.path)
 	if err != nil {
-		return s, []settings.Finding{{Message: err.Error(), Remedy: "name a readable file; `galenadyked settings --gateway` prints one to start from"}}, true
+		changed = err.Error() != f.lastError
+		f.lastError = err.Error()
+		return s, []settings.Finding{{Message: err.Error(), Remedy: "name a readable file; `galenadyked settings --gateway` prints one to start from"}}, changed
 	}
+	f.lastError = ""
 	if f.last != nil && bytes.Equal(raw, f.last) {
 		return s, nil, false
 	}
--- a/node/telemetry/gateway.go
+++ b/node/telemetry/gateway.go
@@ -120,6 +120,7 @@
 	m.overBound, m.panics = newMap("gateway_over_bound"), newMap("gateway_panics")
 	m.attemptsSent, m.connectionsOpened = newInt("gateway_attempts_sent"), newInt("gateway_connections_opened")
 	m.callersLeft, m.logDropped, m.notReady = newInt("gateway_callers_left"), newInt("log_lines_dropped"), newInt("gateway_not_ready")
+	m.notReady.Set(1) // until the first SetReady
 	m.root.Set("gateway_route_latency_ms", expvar.Func(func() any { return m.latencyQuantiles() }))
 	return m
 }
