node/backend: a late second copy of an answer is not taken for the next answer

Cause: net/http notices surplus bytes only while a connection is idle. A copy of an answer that arrives after the next request has been written was taken for the answer to it: a booking that had not ended was reported as run.

Change: targets of the own interface echo X-Request-Id (the stand-in does). An answer with another ID, or without one on a connection whose answers state IDs, ends the attempt as unknown and closes the connection. Targets that never state IDs are used as before.

Test: TestLateSecondCopyIsNotTheNextAnswer; both cases fail without the change.

--- a/node/backend/backend.go
+++ b/node/backend/backend.go
@@ -156,7 +156,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			// The wait for a connection counts against the deadline.
 			setDeadlineHeader(header, out.Deadline-b.cfg.BootTime())
-			info.Conn.(*conn).current.Store(tracker)
+			c := info.Conn.(*conn)
+			c.current.Store(tracker)
+			tracker.conn.Store(c)
 		},
 	})
 	req := &http.Request{
--- a/node/backend/backend_test.go
+++ b/node/backend/backend_test.go
@@ -132,6 +132,60 @@
 	}
 }
 
+// Guards against a late second copy of an answer, on a connection that is in use again, that
+// is taken for the answer to the next booking: what the booking did is unknown then, and the
+// connection is not used any more.
+func TestLateSecondCopyIsNotTheNextAnswer(t *testing.T) {
+	answer := func(header string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(bookingAnswer), bookingAnswer)
+	}
+	for name, copyHeader := range map[string]string{"with its ID": "X-Request-Id: r-1\r\n", "without an ID": ""} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					r := bufio.NewReader(c)
+					for n := 0; ; n++ {
+						req, err := http.ReadRequest(r)
+						if err != nil {
+							break
+						}
+						_, _ = io.Copy(io.Discard, req.Body)
+						own := answer("X-Request-Id: " + req.Header.Get("X-Request-Id") + "\r\n")
+						if n == 1 {
+							own = answer(copyHeader) + own
+						}
+						_, _ = io.WriteString(c, own)
+					}
+					_ = c.Close()
+				}
+			}()
+			t.Cleanup(func() { _ = l.Close(); <-done })
+			h := newHarness(t)
+			for i, want := range []model.Execution{model.Ran, model.Unknown, model.Ran} {
+				out := booking(l.Addr().String())
+				out.RequestID = fmt.Sprint("r-", i+1)
+				h.Send(out)
+				if r := h.reply(t); r.Execution != want || (want == model.Unknown) != (r.Error == model.KindTargetAnswer) {
+					t.Errorf("booking %d: got error %v, execution %v, want execution %v", i+1, r.Error, r.Execution, want)
+				}
+			}
+			if n := h.opened.Load(); n != 2 {
+				t.Errorf("got %d connections, want 2: the one with the copy is not used again", n)
+			}
+		})
+	}
+}
+
 // Guards against a redirect that sends a booking to a second target.
 func TestRedirectIsNotFollowed(t *testing.T) {
 	var redirected atomic.Int64
--- a/node/backend/classify.go
+++ b/node/backend/classify.go
@@ -55,6 +55,13 @@
 //	body cannot be read          as in classifyError, Unknown
 func (b *Backend) readAnswer(ctx context.Context, reply *model.TargetReply, out model.SendTarget, tracker *writeTracker, resp *http.Response) {
 	defer resp.Body.Close()
+	if c := tracker.conn.Load(); c != nil && c.isForeign(resp.Header.Get("X-Request-Id"), out.RequestID) {
+		// A late copy of an earlier answer. The answer that is due comes after it, so the
+		// connection must not be used again.
+		_ = c.Close()
+		reply.Error = model.KindTargetAnswer
+		return
+	}
 	raw, err := readAll(resp.Body, resp.ContentLength, MaxAnswerBytes)
 	switch {
 	case errors.Is(err, errTooLarge):
--- a/node/backend/conn.go
+++ b/node/backend/conn.go
@@ -22,6 +22,7 @@
 	// firstWriteAt is the time just before the first write, in nanoseconds as measured
 	// by now. Zero means that no write has begun.
 	firstWriteAt atomic.Int64
+	conn         atomic.Pointer[conn] // the connection of the request, nil before there is one
 }
 
 // beforeFirstWrite is called immediately before the first write of the request. It
@@ -42,6 +43,18 @@
 type conn struct {
 	net.Conn
 	current atomic.Pointer[writeTracker]
+	// identifies is set once an answer on the connection has stated the ID of its request.
+	identifies atomic.Bool
+}
+
+// isForeign reports whether an answer that states the ID, or none, does not belong to the
+// request that is due. Targets that never state IDs can't be checked.
+func (c *conn) isForeign(stated, due string) bool {
+	if stated == "" {
+		return c.identifies.Load()
+	}
+	c.identifies.Store(true)
+	return stated != due
 }
 
 // Write checks the deadline before the first byte of a request, so that a process
--- a/testbed/target/http.go
+++ b/testbed/target/http.go
@@ -77,6 +77,7 @@
 
 func (t *target) serveRequest(w http.ResponseWriter, r *http.Request, search bool) {
 	arrived := time.Now()
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		panic(http.ErrAbortHandler)
