--- a/ctl/load/client.go
+++ b/ctl/load/client.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxAnswerBytes is the maximum number of bytes read from the body of an answer.
+	// maxAnswerBytes is the maximum size of the body of an answer, in bytes.
 	maxAnswerBytes = 64 << 20
 	// answerGrace is how long past its deadline a call waits for the answer.
 	answerGrace = 2 * time.Second
@@ -164,10 +164,13 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return err
 	}
+	if len(raw) > maxAnswerBytes {
+		return fmt.Errorf("%s: the answer has more than %d bytes", req.URL, maxAnswerBytes)
+	}
 	if err := json.Unmarshal(raw, answer); err != nil {
 		return fmt.Errorf("%s: status %d: %w", req.URL, resp.StatusCode, err)
 	}
--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -42,20 +42,7 @@
 	_, near := startDaemon(t, "front-0", "ikeja", storeURL, func(s *settings.Gateway) { s.Seeds = []string{far.ControlListen} })
 
 	for i := 0; ; i++ {
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+near.CallerListen+"/all/x", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.Host, r.Header = "h", http.Header{"Galenadyke-Attempt-Id": {fmt.Sprint("r", i)}}
-		resp, err := http.DefaultClient.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		body, err := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		if err != nil {
-			t.Fatal(err)
-		}
+		resp, body := get(t, "http://"+near.CallerListen+"/all/x", fmt.Sprint("r", i))
 		if resp.StatusCode == http.StatusOK {
 			want := strings.Repeat("d", 16) + strings.Repeat("c", 16) + strings.Repeat("b", 16)
 			if stamps := strings.Split(resp.Header.Get("Galenadyke-Part-Stamps"), ","); string(body) != want || len(stamps) != 4 {
@@ -72,6 +59,26 @@
 	}
 }
 
+// get sends a request for host h with an attempt ID, and returns the answer and its body.
+func get(t *testing.T, url, id string) (*http.Response, []byte) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host, r.Header = "h", http.Header{"Galenadyke-Attempt-Id": {id}}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, body
+}
+
 // metric returns the value of a metric of an instance, 0 if it has none.
 func metric(t *testing.T, address, name string) int {
 	t.Helper()
--- a/node/gateway/recover_test.go
+++ b/node/gateway/recover_test.go
@@ -44,17 +44,7 @@
 	waitReady(t, s)
 	left.Store(1)
 	for i, want := range []int{http.StatusBadGateway, http.StatusOK} {
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.CallerListen+"/p/x", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.Host, r.Header = "h", http.Header{"Galenadyke-Attempt-Id": {fmt.Sprint("r", i)}}
-		resp, err := http.DefaultClient.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		body, _ := io.ReadAll(resp.Body)
-		resp.Body.Close()
+		resp, body := get(t, "http://"+s.CallerListen+"/p/x", fmt.Sprint("r", i))
 		if resp.StatusCode != want || i == 0 && !strings.Contains(string(body), "internal error") {
 			t.Errorf("request %d: got status %d, body %q, want %d", i, resp.StatusCode, body, want)
 		}
