--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -176,7 +176,7 @@
 
 	// maxReportDelay is how long a forwarder may delay the report of an attempt that has
 	// ended, to report it together with others.
-	maxReportDelay = 8 * time.Millisecond
+	maxReportDelay = 2 * time.Millisecond
 
 	// directAfterRefusal is how long attempts at a target are sent directly after a forwarder
 	// refused one. The connections of forwarders are used up while a target is overloaded;
