--- a/core/gateway/batch_test.go
+++ b/core/gateway/batch_test.go
@@ -462,3 +462,40 @@
 	}
 	return ""
 }
+
+// Guards against messages between data centres that grow with the shards: whatever their
+// number, a request is one message to each of the other six data centres at most, and each
+// shard is asked once.
+func TestMessagesBetweenPlacesDoNotGrowWithTheShards(t *testing.T) {
+	places := []model.PlaceID{"ikeja", "lekki", "yaba", "apapa", "imlil", "tichka", "azzaden"}
+	for _, shards := range []int{20, 180, 450} {
+		h := newHarness(t)
+		for j := range 3 * len(places) {
+			m := otherMember(j)
+			m.Place, m.Configuration = places[j%len(places)], 1
+			h.receiveState(m)
+		}
+		var targets []Target
+		for i := range shards {
+			for j := range 3 {
+				target := readyTargets(shard(i), j+1)[j]
+				target.Place = places[(i+2*j)%len(places)]
+				targets = append(targets, target)
+			}
+		}
+		h.publish(1, targets, gatherRoute(shards, 0.9))
+		h.delegatedRequest()
+		asked := len(h.sent)
+		for _, b := range h.batches {
+			asked += len(b.Targets)
+		}
+		for _, s := range h.sent {
+			if place := h.g.targets[s.Target].Place; place != "ikeja" {
+				t.Errorf("%d shards: a direct attempt goes to %s", shards, place)
+			}
+		}
+		if len(h.batches) > len(places)-1 || asked != shards {
+			t.Errorf("%d shards: got %d messages to other data centres for %d attempts, want at most %d for %d", shards, len(h.batches), asked, len(places)-1, shards)
+		}
+	}
+}
