--- a/node/gateway/connections.go
+++ b/node/gateway/connections.go
@@ -28,10 +28,10 @@
 const maxFreshTime = time.Second
 
 // inUse reports whether a caller is waiting for an answer, or may be sending a request.
-func (i *callerConnections) inUse() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, openedAt := range i.busy {
+func (cc *callerConnections) inUse() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	for _, openedAt := range cc.busy {
 		if openedAt.IsZero() || time.Since(openedAt) < maxFreshTime {
 			return true
 		}
@@ -40,34 +40,34 @@
 }
 
 // connState is the hook http.Server.ConnState.
-func (i *callerConnections) connState(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+func (cc *callerConnections) connState(c net.Conn, state http.ConnState) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		i.busy[c] = time.Now()
+		cc.busy[c] = time.Now()
 	case http.StateActive:
-		i.busy[c] = time.Time{}
+		cc.busy[c] = time.Time{}
 	default:
-		delete(i.busy, c)
+		delete(cc.busy, c)
 	}
 	switch state {
 	case http.StateIdle:
-		if t := i.timers[c]; t != nil {
-			t.Reset(i.limit())
+		if t := cc.timers[c]; t != nil {
+			t.Reset(cc.limit())
 			return
 		}
 		// A request that arrives during the close is lost, but it was sent later than the
 		// published idle timeout allows.
-		i.timers[c] = time.AfterFunc(i.limit(), func() { _ = c.Close() })
+		cc.timers[c] = time.AfterFunc(cc.limit(), func() { _ = c.Close() })
 	case http.StateActive:
-		if t := i.timers[c]; t != nil {
+		if t := cc.timers[c]; t != nil {
 			t.Stop()
 		}
 	case http.StateClosed, http.StateHijacked:
-		if t := i.timers[c]; t != nil {
+		if t := cc.timers[c]; t != nil {
 			t.Stop()
-			delete(i.timers, c)
+			delete(cc.timers, c)
 		}
 	}
 }
--- a/node/gateway/connections_test.go
+++ b/node/gateway/connections_test.go
@@ -19,7 +19,7 @@
 func TestIdleConnectionsCloseAfterThePublishedTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limit := time.Minute
-		idle := newCallerConnections(func() time.Duration { return limit })
+		connections := newCallerConnections(func() time.Duration { return limit })
 		serverConn, callerConn := net.Pipe()
 		defer callerConn.Close()
 		closed := make(chan struct{})
@@ -36,15 +36,15 @@
 			default:
 			}
 		}
-		idle.connState(serverConn, http.StateNew)
-		idle.connState(serverConn, http.StateActive)
-		idle.connState(serverConn, http.StateIdle)
+		connections.connState(serverConn, http.StateNew)
+		connections.connState(serverConn, http.StateActive)
+		connections.connState(serverConn, http.StateIdle)
 		time.Sleep(59 * time.Second)
-		idle.connState(serverConn, http.StateActive)
+		connections.connState(serverConn, http.StateActive)
 		time.Sleep(time.Hour)
 		checkOpen("during a request")
 		limit = 15 * time.Second
-		idle.connState(serverConn, http.StateIdle)
+		connections.connState(serverConn, http.StateIdle)
 		time.Sleep(14 * time.Second)
 		checkOpen("before the limit")
 		time.Sleep(2 * time.Second)
@@ -54,9 +54,9 @@
 		default:
 			t.Error("the connection is open after the idle timeout, want it closed")
 		}
-		idle.connState(serverConn, http.StateClosed)
-		if len(idle.timers) != 0 {
-			t.Errorf("got %d timers after the close, want none", len(idle.timers))
+		connections.connState(serverConn, http.StateClosed)
+		if len(connections.timers) != 0 {
+			t.Errorf("got %d timers after the close, want none", len(connections.timers))
 		}
 	})
 }
