core/gateway: a test that cancellation reaches attempts at removed targets

Change: the test; it fails if attempts at removed targets are left out. No code is changed; the tests of core/gateway pass.

--- a/core/gateway/request_test.go
+++ b/core/gateway/request_test.go
@@ -290,3 +290,17 @@
 	}
 	return out
 }
+
+// Guards against attempts that go on at a target which was removed meanwhile: the cancellation
+// of a request reaches them too.
+func TestCancelReachesAttemptsAtRemovedTargets(t *testing.T) {
+	h := newHarness(t)
+	h.publish(1, readyTargets("s", 1), plainRoute(true))
+	h.targets["s-0"] = neverAnswers
+	id := h.request("/p/x", time.Second)
+	h.step(StoreRead{Revision: 2, Removed: []model.TargetID{"s-0"}})
+	h.step(CallerDisconnected{Request: id})
+	if len(h.sent) != 1 || len(h.cancelled) != 1 || h.cancelled[0] != h.sent[0].Attempt {
+		t.Errorf("got cancellations %v of attempts %v, want that of the one attempt", h.cancelled, h.sent)
+	}
+}
