core/gateway, node, platform: the rate limit that a target states is read and logged

It is now part of the end of an attempt, is reported by forwarders, and each instance logs TargetLimit when a target begins or ceases to state a limit. Decisions do not depend on it yet.

--- a/core/gateway/exchange.go
+++ b/core/gateway/exchange.go
@@ -35,6 +35,10 @@
 	HasLoad     bool
 	ColdFor     time.Duration
 	HasCold     bool
+	// RateLimit is the number of requests a second that the target accepts from all
+	// instances together, valid if HasRateLimit.
+	RateLimit    float64
+	HasRateLimit bool
 }
 
 // StoreItem is an item of the platform's store in the platform's encoding.
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -85,6 +85,16 @@
 // reachedTarget reports whether the attempt may have reached a target.
 func (o Outcome) reachedTarget() bool { return o != OutcomeNotSent }
 
+// answered reports whether the target sent a complete answer of its own.
+func (o Outcome) answered() bool {
+	switch o {
+	case OutcomeSuccess, OutcomeFailure, OutcomeRejected, OutcomeShed:
+		return true
+	default:
+		return false
+	}
+}
+
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
 	return [...]string{"success", "failure", "rejected", "shed", "misdirected", "not_sent", "broken", "timed_out"}[o]
@@ -112,6 +122,10 @@
 	// HasCold.
 	ColdFor time.Duration
 	HasCold bool
+	// RateLimit is the number of requests a second that the target accepts from all
+	// instances together, valid if HasRateLimit.
+	RateLimit    float64
+	HasRateLimit bool
 	// Reused is false if a connection had to be opened. Connect is how long opening
 	// the connection took, 0 if none was opened.
 	Reused  bool
--- a/core/gateway/input_test.go
+++ b/core/gateway/input_test.go
@@ -53,7 +53,8 @@
 		Part:     Part{Stamp: rapid.SampledFrom([]string{"", "x", "y"}).Draw(d.t, "stamp"), Records: make([]byte, rapid.IntRange(0, 70).Draw(d.t, "records"))},
 		Gathered: Gathered{Stamps: []string{"x"}, Missing: int(d.number("missing")), Records: make([]byte, 16)}, Configuration: uint64(d.number("configuration")),
 		Load: Load{Running: int(d.number("running")), Waiting: int(d.number("waiting")), Slots: int(d.number("slots"))}, HasLoad: rapid.Bool().Draw(d.t, "has_load"),
-		ColdFor: d.duration("cold"), HasCold: rapid.Bool().Draw(d.t, "has_cold"), Reused: rapid.Bool().Draw(d.t, "reused"), Connect: d.duration("connect")}
+		ColdFor: d.duration("cold"), HasCold: rapid.Bool().Draw(d.t, "has_cold"),
+		RateLimit: rapid.SampledFrom([]float64{0, 0.3, 20, -1, math.NaN(), math.Inf(1)}).Draw(d.t, "rate_limit"), HasRateLimit: rapid.Bool().Draw(d.t, "has_rate_limit"), Reused: rapid.Bool().Draw(d.t, "reused"), Connect: d.duration("connect")}
 }
 
 // attempt returns the ID of an attempt or batch that may be in flight.
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -59,6 +59,7 @@
 	load         Load          // last load report
 	loadAt       time.Duration // time of the last load report, 0 if there is none
 	coldRequests recentRequests
+	rateLimit    rateLimit
 }
 
 func (g *Gateway) service(id ServiceID) *service {
@@ -304,6 +305,7 @@
 	if in.HasCold {
 		t.coldUntil = g.now + in.ColdFor
 	}
+	g.observeRateLimit(a, in)
 	switch in.Outcome {
 	case OutcomeSuccess:
 		g.observeLatency(a, in)
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -143,6 +143,9 @@
 				coldFor := int64(in.ColdFor)
 				e.ColdForNs = &coldFor
 			}
+			if in.HasRateLimit {
+				e.RateLimit = &in.RateLimit
+			}
 		}
 		reply.Ends = append(reply.Ends, e)
 	}
@@ -155,7 +158,8 @@
 		end := gateway.BatchEnd{Index: int(e.GetIndex()), Refused: e.GetRefused()}
 		end.End = gateway.AttemptEnded{Outcome: gateway.Outcome(min(e.GetOutcome(), maxOutcomeByte)), Status: int(e.GetStatus()),
 			Part: gateway.Part{Stamp: e.GetStamp()}, Cause: e.GetCause(), Reused: e.GetReused(),
-			HasLoad: e.Load != nil, ColdFor: time.Duration(e.GetColdForNs()), HasCold: e.ColdForNs != nil}
+			HasLoad: e.Load != nil, ColdFor: time.Duration(e.GetColdForNs()), HasCold: e.ColdForNs != nil,
+			RateLimit: e.GetRateLimit(), HasRateLimit: e.RateLimit != nil}
 		if load := e.GetLoad(); load != nil {
 			end.End.Load = gateway.Load{Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots())}
 		}
--- a/node/gateway/upstream.go
+++ b/node/gateway/upstream.go
@@ -242,6 +242,7 @@
 func (u *upstream) classify(a *attempt, ended *gateway.AttemptEnded, r *reply, headers gateway.ReplyHeaders) {
 	ended.Status = r.status
 	ended.Load, ended.HasLoad, ended.ColdFor, ended.HasCold = headers.Load, headers.HasLoad, headers.ColdFor, headers.HasCold
+	ended.RateLimit, ended.HasRateLimit = headers.RateLimit, headers.HasRateLimit
 	switch {
 	case r.status == http.StatusMisdirectedRequest:
 		ended.Outcome, ended.Cause = gateway.OutcomeMisdirected, "another target has the address"
