core/gateway: targets get no more requests than the rate limit that they state

Cause: attempts did not depend on a target's stated limit. The line TargetLimit showed that each sending instance knows the limit within a second, and that the rate at the target did not change.

Now each instance that sends to the target uses an equal share of the limit as a token bucket of one second. The sum stays within the limit without messages, as for connections and cold targets. A target whose share is used up is not usable: parts, hedges and retries go to another target, and a request for which too few targets are left is refused before anything is sent. The limit ends with an answer to a later attempt that does not state it.

--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -103,6 +103,12 @@
 	// fleetPeakWindow is how long the largest known fleet counts for shares.
 	fleetPeakWindow = 15 * time.Second
 
+	// minRateLimit replaces a smaller rate limit of a target, in requests per second, so that
+	// the end of the limit is noticed.
+	minRateLimit = 0.25
+	// rateLimitBurst is the time whose share of a rate limit an instance may use at once.
+	rateLimitBurst = time.Second
+
 	// budgetSafetyFactor is the share of the retry budget that is used. The rest
 	// covers differences between the windows of the instances and of the targets.
 	budgetSafetyFactor = 0.85
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -62,7 +62,7 @@
 		s.waiting = s.waiting[1:]
 		switch {
 		case t == nil:
-			g.failPart(w.request, w.part, "no target of "+string(s.id)+" is up")
+			g.failPart(w.request, w.part, "no target of "+string(s.id)+" "+g.unusableReason(s))
 		case p.arrivals > 0 && !g.spendRetryBudget(s, 0):
 			g.failPart(w.request, w.part, "the retry budget of "+string(s.id)+" is used up")
 		default:
@@ -85,22 +85,45 @@
 	if r.deadline-g.now < minAttemptTime {
 		return "the caller's deadline leaves no time"
 	}
-	up := 0
+	up, limited := 0, 0
 	for i := range r.parts {
-		if g.hasUsableTarget(r.parts[i].service) {
+		switch s := r.parts[i].service; {
+		case g.hasUsableTarget(s):
 			up++
+		case g.hasLimitedTarget(s):
+			limited++
 		}
 	}
-	if up < r.requiredParts() {
-		return "targets are up for " + strconv.Itoa(up) + " of " + strconv.Itoa(len(r.parts)) + " services"
+	if up >= r.requiredParts() {
+		return ""
 	}
-	return ""
+	reason := "targets are up for " + strconv.Itoa(up) + " of " + strconv.Itoa(len(r.parts)) + " services"
+	if limited > 0 {
+		reason += ", and at their rate limit for " + strconv.Itoa(limited)
+	}
+	return reason
 }
 
 func (g *Gateway) hasUsableTarget(s *service) bool {
 	return slices.ContainsFunc(s.targets, g.isUsable)
 }
 
+// hasLimitedTarget reports whether a target of the service is up but not within its rate
+// limit.
+func (g *Gateway) hasLimitedTarget(s *service) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool {
+		return g.isEligible(t) && t.downUntil <= g.now && !g.withinRateLimit(t)
+	})
+}
+
+// unusableReason completes the reason why no target of a service is usable.
+func (g *Gateway) unusableReason(s *service) string {
+	if g.hasLimitedTarget(s) {
+		return "is up and within its rate limit"
+	}
+	return "is up"
+}
+
 // retryAfter returns a random delay for a refused caller, so that callers don't
 // return at once. More urgent routes get shorter delays.
 func (g *Gateway) retryAfter(r *request) time.Duration {
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -207,7 +207,7 @@
 	case usable:
 		g.enqueue(r, i)
 	default:
-		g.failPart(r, i, "no target of "+string(p.service.id)+" is up")
+		g.failPart(r, i, "no target of "+string(p.service.id)+" "+g.unusableReason(p.service))
 	}
 }
 
@@ -218,8 +218,11 @@
 	a := &attempt{id: g.lastID, request: r, part: i, target: t, sentAt: g.now}
 	g.attempts[a.id] = a
 	t.inFlight = append(t.inFlight, a)
-	if t.coldUntil > g.now && r.forward == nil { // the sender of a batch counts its requests
-		t.coldRequests.add(g.now)
+	if r.forward == nil { // the sender of a batch counts its requests
+		if t.coldUntil > g.now {
+			t.coldRequests.add(g.now)
+		}
+		g.countRateLimited(t)
 	}
 	p.tried = append(p.tried, t.ID)
 	p.inFlight = append(p.inFlight, a)
@@ -337,7 +340,7 @@
 		case t == nil && usable:
 			g.enqueue(r, i)
 		case t == nil:
-			g.failPart(r, i, "no other target of "+string(p.service.id)+" is up: "+r.cause)
+			g.failPart(r, i, "no other target of "+string(p.service.id)+" "+g.unusableReason(p.service)+": "+r.cause)
 		case p.arrivals > 0 && !g.spendRetryBudget(p.service, 0):
 			g.failPart(r, i, "the retry budget of "+string(p.service.id)+" is used up: "+r.cause)
 		default:
