--- a/core/gateway/exchange.go
+++ b/core/gateway/exchange.go
@@ -52,6 +52,9 @@
 // StoreChange is the change of the store since an earlier revision. Instances that
 // read the store pass it on to instances that don't.
 type StoreChange struct {
+	// Era counts how often the store has come back from an older copy, 0 if unknown.
+	// Revisions are ordered only within an era.
+	Era      uint64
 	Revision uint64
 	Items    []StoreItem
 	// Complete means that the items replace everything that is known.
