core/gateway, platform: states of the store are ordered by era, then by revision

Cause: the store's revision was taken for a number that only rises. After a restore it is lower: reads of everything were ignored as older, 10 of them a second, and once the revision had been given out again, watches went on from it and missed what had been written at it and below. The same comparison was made in the adapter, in the core, in state messages and between an instance and those that follow it.

Now a position is the era, which the store states in each answer, and the revision. A watch that is answered in a later era leads to a read of everything, a follower of an earlier era gets everything, and an instance fetches from members in a later era. As operators and servers write again what the copy lacks, what an instance knows is newer until then: entries that the copy lacks count as lapsed, lost evacuations continue for 10 s, and entries of the copy for targets that have left or reported since are ignored. A later configuration is never replaced, and an instance that has read an older one from the copy gets it from the others.

--- a/core/gateway/config.go
+++ b/core/gateway/config.go
@@ -138,4 +138,6 @@
 	// StartedAtMillis is the start time that the target reports, in Unix milliseconds;
 	// 0 if unknown. It identifies the target's incarnation.
 	StartedAtMillis int64
+	// Report numbers the reports of one incarnation.
+	Report int64
 }
--- a/core/gateway/exchange.go
+++ b/core/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"galenadyke.dev/core/model"
@@ -49,11 +50,33 @@
 	Deleted bool
 }
 
+// StorePosition orders the states of the platform's store.
+type StorePosition struct {
+	// Era counts how often the store has come back from an older copy, 0 if unknown. The
+	// store gives out revisions again in a new era, so they are ordered only within one.
+	Era      uint64
+	Revision uint64
+}
+
+// Before reports whether p is an earlier state than q. If either era is unknown, only the
+// revisions count.
+func (p StorePosition) Before(q StorePosition) bool {
+	if p.Era != q.Era && p.Era != 0 && q.Era != 0 {
+		return p.Era < q.Era
+	}
+	return p.Revision < q.Revision
+}
+
+// BeforeEra reports whether the store has come back from an older copy between p and q.
+func (p StorePosition) BeforeEra(q StorePosition) bool { return p.Era != 0 && p.Era < q.Era }
+
+// String returns the position as it is logged.
+func (p StorePosition) String() string { return fmt.Sprintf("era %d, revision %d", p.Era, p.Revision) }
+
 // StoreChange is the change of the store since an earlier revision. Instances that
 // read the store pass it on to instances that don't.
 type StoreChange struct {
-	// Era counts how often the store has come back from an older copy, 0 if unknown.
-	// Revisions are ordered only within an era.
+	// Era and Revision are the store's position after the change.
 	Era      uint64
 	Revision uint64
 	Items    []StoreItem
@@ -65,3 +88,6 @@
 	// the change from the store.
 	Age time.Duration
 }
+
+// Position returns the store's position after the change.
+func (c StoreChange) Position() StorePosition { return StorePosition{c.Era, c.Revision} }
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -60,6 +60,7 @@
 	// roundTrips are the network round-trip times to data centres, where known.
 	roundTrips map[model.PlaceID]time.Duration
 	store      storeState
+	restore    restoreState
 
 	requests map[RequestID]*request
 	attempts map[AttemptID]*attempt
@@ -92,6 +93,7 @@
 		ready:       ReadinessChanged{Reason: "no configuration is known yet"},
 	}
 	g.members.byName = make(map[model.InstanceID]*member)
+	g.restore = restoreState{evacuations: make(map[model.PlaceID]bool), departures: make(map[model.TargetID]departure)}
 	return g
 }
 
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -197,7 +197,8 @@
 
 // StoreRead is a consistent change of the platform's store.
 type StoreRead struct {
-	// Revision is the store's revision after the change.
+	// Era and Revision are the store's position after the change.
+	Era      uint64
 	Revision uint64
 	// Complete means that Targets and Evacuated replace everything that is known.
 	// Otherwise Targets are added or updated, Removed are removed, and data centres in
@@ -211,6 +212,8 @@
 	Relayed bool
 }
 
+func (in StoreRead) position() StorePosition { return StorePosition{in.Era, in.Revision} }
+
 // StoreAnswered reports that the store answered, with or without a change, Age ago.
 type StoreAnswered struct{ Age time.Duration }
 
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -128,6 +128,12 @@
 	// lapseGrace is how long after an outage of the store a target without an entry is
 	// still used. Live targets register again within about 2 s.
 	lapseGrace = 2200 * time.Millisecond
+	// evacuationGrace is how long after the store came back from an older copy an evacuation
+	// that it lacks continues, unless operators write it again or end it.
+	evacuationGrace = 10 * time.Second
+	// departureMemory is how long the last report of a target that has left is kept. It is
+	// above the age of a copy from which the store may come back.
+	departureMemory = time.Minute
 	// sourceBehindAfter is how long another instance may know a later state of the
 	// store before this instance fetches that state from the other instance. Changes
 	// normally arrive from the source in less than half of that time.
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -18,9 +18,10 @@
 	Incarnation uint64
 	// Heartbeat is the instance's heartbeat counter, raised with each round of messages.
 	Heartbeat uint64
-	// Configuration is the version in force at the instance, Revision the store's
-	// revision that the instance knows.
+	// Configuration is the version in force at the instance. Era and Revision are the
+	// store's position that the instance knows.
 	Configuration uint64
+	Era           uint64
 	Revision      uint64
 	// Serving is false while the instance starts or stops.
 	Serving bool
@@ -40,6 +41,8 @@
 	WantsReply bool
 }
 
+func (s MemberState) position() StorePosition { return StorePosition{s.Era, s.Revision} }
+
 // member is a row of the table of members.
 type member struct {
 	MemberState
@@ -119,7 +122,7 @@
 // self returns the state that this instance reports.
 func (g *Gateway) self() MemberState {
 	s := MemberState{Name: g.cfg.Self, Address: g.cfg.Address, Place: g.cfg.Place, Incarnation: g.cfg.Incarnation,
-		Heartbeat: g.members.round, Revision: g.store.revision, Serving: g.ready.Ready,
+		Heartbeat: g.members.round, Era: g.store.position.Era, Revision: g.store.position.Revision, Serving: g.ready.Ready,
 		StoreAnswers: !g.store.lost && !g.stop.begun, Capacity: g.cfg.Capacity}
 	s.StoreAge = neverAnsweredAge
 	if g.store.answeredAt > 0 {
@@ -135,6 +138,7 @@
 func (g *Gateway) gossip() {
 	g.members.round++
 	g.forgetMembers()
+	g.forgetDepartures()
 	g.updateFleetSize()
 	g.chooseSource()
 	for _, address := range g.gossipPeers() {
@@ -289,7 +293,8 @@
 // fetches at most once per half gossipInterval, and more often shortly after the start.
 func (g *Gateway) fetchIfBehind(s MemberState) {
 	own, m := g.self(), g.members.byName[s.Name]
-	if s.Revision <= own.Revision && s.Configuration <= own.Configuration {
+	behind := own.position().Before(s.position())
+	if !behind && s.Configuration <= own.Configuration {
 		m.aheadSince = 0
 		return
 	}
@@ -306,5 +311,5 @@
 		return
 	}
 	g.members.fetchedAt = g.now
-	g.emit(FetchState{From: s.Address})
+	g.emit(FetchState{From: s.Address, Complete: !behind})
 }
--- a/core/gateway/output.go
+++ b/core/gateway/output.go
@@ -161,7 +161,12 @@
 }
 
 // FetchState fetches the store's content from another instance.
-type FetchState struct{ From string }
+type FetchState struct {
+	From string
+	// Complete requests everything instead of what has changed since the store's position
+	// that this instance knows.
+	Complete bool
+}
 
 // Event is a change of the instance's state or view of the fleet, for the log.
 type Event struct {
--- /dev/null
+++ b/core/gateway/restore.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"cmp"
+	"maps"
+	"time"
+
+	"galenadyke.dev/core/model"
+)
+
+// The store may come back from a copy that is some seconds old, which its era shows. What was
+// written since is lost, revisions go back, and operators and targets write again what was
+// lost. Until they have, what this instance knows is newer than the copy: evacuations and
+// targets that the copy lacks are kept for a while, and its entries of targets that have left
+// or have reported since are ignored. The configuration in force never goes back.
+
+// restoreState is what this instance knows from before the store came back from a copy.
+type restoreState struct {
+	// evacuations are the evacuations from before that have not been read since. They end
+	// at evacuationsUntil.
+	evacuations      map[model.PlaceID]bool
+	evacuationsUntil time.Duration
+	// departures are the last reports of targets that left within departureMemory.
+	departures map[model.TargetID]departure
+}
+
+// departure is the last report of a target that has left.
+type departure struct {
+	startedAtMillis, report int64
+	era                     uint64 // of the store when the target left
+	at                      time.Duration
+}
+
+// storeRestored notes that the store has come back from an older copy.
+func (g *Gateway) storeRestored(before, after StorePosition) {
+	g.emit(Event{Name: "StoreRestored", Subject: "store", Before: before.String(), After: after.String(), Warning: true})
+	// As after an outage, the entries of live targets may be missing for a moment.
+	g.store.returnedAt = g.now
+	maps.Copy(g.restore.evacuations, g.evacuated)
+	g.restore.evacuationsUntil = g.now + evacuationGrace
+	g.after(evacuationGrace, g.endLostEvacuations)
+}
+
+// evacuationRead applies an evacuation that the store has, or its end.
+func (g *Gateway) evacuationRead(p model.PlaceID, isEvacuated bool) {
+	delete(g.restore.evacuations, p)
+	g.setEvacuated(p, isEvacuated)
+}
+
+// endLostEvacuations ends the evacuations that operators have not written again.
+func (g *Gateway) endLostEvacuations() {
+	switch {
+	case g.now < g.restore.evacuationsUntil:
+	case g.store.lost && len(g.restore.evacuations) > 0:
+		g.after(evacuationGrace, g.endLostEvacuations)
+	default:
+		for _, p := range sortedKeys(g.restore.evacuations) {
+			g.evacuationRead(p, false)
+		}
+	}
+}
+
+// entryRead applies the entry of a target. An entry that may be from a copy of the store is
+// ignored if a later report of the target is known.
+func (g *Gateway) entryRead(in Target) {
+	era := g.store.position.Era
+	if t := g.targets[in.ID]; t != nil && t.era < era && in.compareReport(t.StartedAtMillis, t.Report) < 0 {
+		t.lapsedAt = 0
+		return
+	}
+	if d, left := g.restore.departures[in.ID]; left && d.era < era && in.compareReport(d.startedAtMillis, d.report) <= 0 {
+		return
+	}
+	delete(g.restore.departures, in.ID)
+	g.upsertTarget(in)
+}
+
+// compareReport compares the report with another one of the same target, of the incarnation
+// that started at startedAtMillis: it returns a negative number if this one is earlier.
+func (t *Target) compareReport(startedAtMillis, report int64) int {
+	return cmp.Or(cmp.Compare(t.StartedAtMillis, startedAtMillis), cmp.Compare(t.Report, report))
+}
+
+// targetLeft removes a target whose entry was removed.
+func (g *Gateway) targetLeft(t *target) {
+	g.restore.departures[t.ID] = departure{startedAtMillis: t.StartedAtMillis, report: t.Report, era: g.store.position.Era, at: g.now}
+	g.removeTarget(t)
+}
+
+func (g *Gateway) forgetDepartures() {
+	maps.DeleteFunc(g.restore.departures, func(_ model.TargetID, d departure) bool { return g.now-d.at > departureMemory })
+}
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -23,6 +23,8 @@
 // target is a row of the table of targets. All times are on the Boot clock.
 type target struct {
 	Target
+	// era is the store's era of the entry.
+	era       uint64
 	coldUntil time.Duration
 	// gone is set when the target was removed, or another target has its address.
 	gone bool
@@ -75,7 +77,7 @@
 type storeState struct {
 	known    bool // whether a complete read has arrived
 	relayed  bool // whether the last read came from another instance
-	revision uint64
+	position StorePosition
 	// answeredAt is when the store last answered this instance or its source.
 	answeredAt time.Duration
 	// lost is set while the store does not answer this instance or its source, and
@@ -111,27 +113,32 @@
 }
 
 // storeRead applies a change of the store unless it is older than the known state. A
-// relayed change must be newer.
+// relayed change must be newer, and the first one of a new era complete.
 func (g *Gateway) storeRead(in StoreRead) {
-	if in.Revision < g.store.revision || (in.Relayed && in.Revision == g.store.revision) {
+	known, read := g.store.position, in.position()
+	restored := known.BeforeEra(read)
+	if read.Before(known) || (in.Relayed && !known.Before(read)) || (restored && !in.Complete) {
 		return
 	}
-	g.store.revision, g.store.relayed = in.Revision, in.Relayed
+	g.store.position, g.store.relayed = StorePosition{max(known.Era, read.Era), read.Revision}, in.Relayed
 	g.gather.places = nil
+	if restored {
+		g.storeRestored(known, read)
+	}
 	if in.Complete {
 		g.replaceAll(in)
 	} else {
 		for _, t := range in.Targets {
-			g.upsertTarget(t)
+			g.entryRead(t)
 		}
 		for _, id := range in.Removed {
 			g.entryRemoved(id)
 		}
 		for _, p := range in.Evacuated {
-			g.setEvacuated(p, true)
+			g.evacuationRead(p, true)
 		}
 		for _, p := range in.Restored {
-			g.setEvacuated(p, false)
+			g.evacuationRead(p, false)
 		}
 	}
 	g.dispatchAll()
@@ -144,7 +151,7 @@
 	inRead := make(map[model.TargetID]bool, len(in.Targets))
 	for _, t := range in.Targets {
 		inRead[t.ID] = true
-		g.upsertTarget(t)
+		g.entryRead(t)
 	}
 	for _, id := range sortedKeys(g.targets) {
 		if !inRead[id] {
@@ -154,10 +161,10 @@
 	evacuatedInRead := make(map[model.PlaceID]bool, len(in.Evacuated))
 	for _, p := range in.Evacuated {
 		evacuatedInRead[p] = true
-		g.setEvacuated(p, true)
+		g.evacuationRead(p, true)
 	}
 	for _, p := range sortedKeys(g.evacuated) {
-		if !evacuatedInRead[p] {
+		if !evacuatedInRead[p] && !g.restore.evacuations[p] {
 			g.setEvacuated(p, false)
 		}
 	}
@@ -193,6 +200,7 @@
 		g.emit(Event{Name: "TargetState", Subject: string(t.ID), Before: t.State.String(), After: in.State.String()})
 	}
 	t.Target = in
+	t.era = g.store.position.Era
 	t.lapsedAt = 0
 	t.coldUntil = 0
 	if in.ColdFor > 0 {
@@ -249,7 +257,7 @@
 		return
 	}
 	if t.lapsedAt == 0 {
-		g.removeTarget(t)
+		g.targetLeft(t)
 	}
 }
 
@@ -263,7 +271,7 @@
 	case g.store.returnedWithin(g.now, lapseGrace):
 		g.after(g.store.returnedAt+lapseGrace-g.now, func() { g.removeLapsed(t) })
 	default:
-		g.removeTarget(t)
+		g.targetLeft(t)
 	}
 }
 
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -51,11 +51,11 @@
 	// Watch makes Run watch the store with calls of at most wait each. With a wait of
 	// 0 the store is not read, and changes come through Import.
 	Watch(wait time.Duration)
-	// Revision returns the store's revision that the copy has.
-	Revision() uint64
-	// Changes returns the change since a revision, and a channel that is closed at the
+	// Position returns the store's position that the copy has.
+	Position() gateway.StorePosition
+	// Changes returns the change since a position, and a channel that is closed at the
 	// next change.
-	Changes(since uint64) (gateway.StoreChange, <-chan struct{})
+	Changes(since gateway.StorePosition) (gateway.StoreChange, <-chan struct{})
 	// Import applies a change that another instance sent.
 	Import(gateway.StoreChange)
 	// SetSourceState records the state of the followed instance: lost means that the
@@ -328,7 +328,7 @@
 	case gateway.FollowStore:
 		d.followStore(out)
 	case gateway.FetchState:
-		go d.fetchState(out.From)
+		go d.fetchState(out)
 	case gateway.Event:
 		d.metrics.EventSeen(out.Name)
 		d.log.GatewayEvent(out)
--- a/node/gateway/follow.go
+++ b/node/gateway/follow.go
@@ -33,7 +33,7 @@
 // revision, or sends a single message if the follower asks for one. Each message is also a
 // heartbeat.
 func (s *peerServer) Follow(in *gatewaypb.FollowRequest, stream grpc.ServerStreamingServer[gatewaypb.Change]) error {
-	since := in.GetRevision()
+	since := gateway.StorePosition{Era: in.GetEra(), Revision: in.GetRevision()}
 	heartbeat := time.NewTicker(followHeartbeat)
 	defer heartbeat.Stop()
 	for {
@@ -44,7 +44,9 @@
 		if in.GetOnce() {
 			return nil
 		}
-		since = max(since, change.Revision)
+		if since.Before(change.Position()) {
+			since = change.Position()
+		}
 		select {
 		case <-changed:
 		case <-heartbeat.C:
@@ -57,7 +59,7 @@
 }
 
 func encodeChange(change gateway.StoreChange) *gatewaypb.Change {
-	out := &gatewaypb.Change{Revision: change.Revision, Complete: change.Complete, Lost: change.Lost, AgeNs: int64(change.Age)}
+	out := &gatewaypb.Change{Era: change.Era, Revision: change.Revision, Complete: change.Complete, Lost: change.Lost, AgeNs: int64(change.Age)}
 	for _, i := range change.Items {
 		out.Items = append(out.Items, &gatewaypb.Item{Key: i.Key, Value: i.Value, Revision: i.Rev, Deleted: i.Deleted})
 	}
@@ -65,7 +67,7 @@
 }
 
 func decodeChange(in *gatewaypb.Change) gateway.StoreChange {
-	out := gateway.StoreChange{Revision: in.GetRevision(), Complete: in.GetComplete(), Lost: in.GetLost(), Age: time.Duration(in.GetAgeNs())}
+	out := gateway.StoreChange{Era: in.GetEra(), Revision: in.GetRevision(), Complete: in.GetComplete(), Lost: in.GetLost(), Age: time.Duration(in.GetAgeNs())}
 	for _, i := range in.GetItems() {
 		out.Items = append(out.Items, gateway.StoreItem{Key: i.GetKey(), Value: i.GetValue(), Rev: i.GetRevision(), Deleted: i.GetDeleted()})
 	}
@@ -121,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	stream, err := client.Follow(ctx, &gatewaypb.FollowRequest{Revision: d.store.Revision()})
+	stream, err := client.Follow(ctx, followRequest(d.store.Position()))
 	for err == nil {
 		var change *gatewaypb.Change
 		if change, err = stream.Recv(); err == nil {
@@ -140,14 +142,23 @@
 	return err
 }
 
+func followRequest(since gateway.StorePosition) *gatewaypb.FollowRequest {
+	return &gatewaypb.FollowRequest{Era: since.Era, Revision: since.Revision}
+}
+
 // fetchState imports the store's content from another instance once.
-func (d *Daemon) fetchState(from string) {
+func (d *Daemon) fetchState(out gateway.FetchState) {
 	ctx, cancel := context.WithTimeout(d.ctx, fetchTimeout)
 	defer cancel()
-	client, err := d.peerClients.get(from)
+	client, err := d.peerClients.get(out.From)
 	if err == nil {
+		in := &gatewaypb.FollowRequest{}
+		if !out.Complete {
+			in = followRequest(d.store.Position())
+		}
+		in.Once = true
 		var stream grpc.ServerStreamingClient[gatewaypb.Change]
-		if stream, err = client.Follow(ctx, &gatewaypb.FollowRequest{Revision: d.store.Revision(), Once: true}); err == nil {
+		if stream, err = client.Follow(ctx, in); err == nil {
 			var change *gatewaypb.Change
 			if change, err = stream.Recv(); err == nil {
 				d.store.Import(decodeChange(change))
@@ -155,5 +166,5 @@
 			}
 		}
 	}
-	d.log.ReadFailed("instance "+from, err)
+	d.log.ReadFailed("instance "+out.From, err)
 }
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -95,11 +95,11 @@
 func encodeMember(m gateway.MemberState) *gatewaypb.Member {
 	return &gatewaypb.Member{Name: string(m.Name), Address: m.Address, Place: string(m.Place), Life: m.Incarnation,
 		Beat: m.Heartbeat, Configuration: m.Configuration, Revision: m.Revision, Serving: m.Serving,
-		Reads: m.StoreAnswers, Capacity: m.Capacity, StoreAgeNs: int64(m.StoreAge)}
+		Reads: m.StoreAnswers, Capacity: m.Capacity, StoreAgeNs: int64(m.StoreAge), Era: m.Era}
 }
 
 func decodeMember(m *gatewaypb.Member) gateway.MemberState {
 	return gateway.MemberState{Name: model.InstanceID(m.GetName()), Address: m.GetAddress(), Place: model.PlaceID(m.GetPlace()),
 		Incarnation: m.GetLife(), Heartbeat: m.GetBeat(), Configuration: m.GetConfiguration(), Revision: m.GetRevision(), Serving: m.GetServing(),
-		StoreAnswers: m.GetReads(), Capacity: m.GetCapacity(), StoreAge: time.Duration(m.GetStoreAgeNs())}
+		StoreAnswers: m.GetReads(), Capacity: m.GetCapacity(), StoreAge: time.Duration(m.GetStoreAgeNs()), Era: m.GetEra()}
 }
