core/gateway: the size of a large fleet is estimated from a common sample

Cause: shares of a common bound were computed for the members with news in the last 8 s. A state message names few members, so in large fleets that is a part of the fleet: in a simulation of the exchange 15 to 27 of 30 instances, 25 to 47 of 71, 23 to 71 of 91, and 51 to 100 of 295. The shares of connections and of the retry slack of plain services had the same fault.

Now each message carries the 32 instances with the smallest hashes of their names, with their ages. The sample becomes the same at all instances, and its density gives the size. An instance that has recent news of the whole sample knows all members and counts them as before. A message names 2 instead of 3 small members, so that it stays within 1,400 bytes (1,366 with the names of the large site, 1,330 before).

--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -213,7 +213,17 @@
 	// maxGossipGatherers and maxGossipOthers bound the members in one state message
 	// that have the capacity to gather, and the other members.
 	maxGossipGatherers = 10
-	maxGossipOthers    = 3
+	maxGossipOthers    = 2
+	// sampleSize is the number of instances in the sample from which the size of the fleet is
+	// estimated: 128 bytes of a state message, and a standard error of 18 %. sampleMargin
+	// multiplies the estimate. From minSampleForEstimate on the size is estimated, as a full
+	// sample becomes smaller for a while when instances are lost.
+	sampleSize           = 32
+	minSampleForEstimate = 24
+	sampleMargin         = 1.25
+	// sampleMaxAge is how long a sampled instance counts without news. News passes from
+	// instance to instance and is older than that of a member, which comes directly.
+	sampleMaxAge = 20 * time.Second
 	// memberLostAfter and memberForgetAfter are the times without news of a member
 	// after which it no longer counts as alive, and after which it is removed. News
 	// reaches all members after about log2(instances) rounds.
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -37,6 +37,8 @@
 type StateMessage struct {
 	Sender  MemberState
 	Members []MemberState
+	// Sample is the sender's sample of the fleet.
+	Sample []SampledInstance
 	// WantsReply requests a state message in return.
 	WantsReply bool
 }
@@ -74,9 +76,10 @@
 // members is the table of other instances.
 type members struct {
 	byName map[model.InstanceID]*member
+	sample fleetSample
 	round  uint64 // number of this instance's latest round of state messages
-	// peakSize is the largest fleet size of the last fleetPeakWindow, counted at
-	// peakAt.
+	// peakSize is the largest fleet size of the last fleetPeakWindow, counted or estimated
+	// at peakAt.
 	peakSize int
 	peakAt   time.Duration
 	// maxCapacity is the largest capacity of a member that is alive, in cores.
@@ -100,16 +103,22 @@
 	return minInstances
 }
 
-// updateFleetSize updates the largest fleet size and the largest capacity.
+// updateFleetSize updates the largest fleet size and the largest capacity. The size is
+// estimated if there is no recent news of a sampled instance, and so of others.
 func (g *Gateway) updateFleetSize() {
 	alive := 1
+	unknown := len(g.members.sample) - g.members.sample.count(sampleHash(g.cfg.Self))
 	g.members.maxCapacity = 0
-	for _, m := range g.members.byName {
+	for name, m := range g.members.byName {
 		if g.alive(m) {
 			alive++
+			unknown -= g.members.sample.count(sampleHash(name))
 			g.members.maxCapacity = max(g.members.maxCapacity, m.Capacity)
 		}
 	}
+	if unknown > 0 {
+		alive = max(alive, g.members.sample.fleetSize())
+	}
 	if alive >= g.members.peakSize || g.now-g.members.peakAt > fleetPeakWindow {
 		g.members.peakSize, g.members.peakAt = alive, g.now
 	}
@@ -205,7 +214,7 @@
 // stateMessage returns a message with the state of this instance and of a bounded
 // random choice of the members that are alive.
 func (g *Gateway) stateMessage(wantsReply bool) StateMessage {
-	message := StateMessage{Sender: g.self(), WantsReply: wantsReply}
+	message := StateMessage{Sender: g.self(), Sample: g.refreshedSample(), WantsReply: wantsReply}
 	gatherers, others := 0, 0
 	for _, name := range g.shuffledMembers() {
 		m := g.members.byName[name]
@@ -250,6 +259,7 @@
 	g.mergeMember(sender, true)
 	m := g.members.byName[sender.Name]
 	m.directAt, m.answeredAt = g.now, g.now-sender.StoreAge
+	g.receiveSample(sender.Name, in.State.Sample)
 	for _, m := range in.State.Members {
 		if m.Name != g.cfg.Self {
 			g.mergeMember(m, false)
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -76,11 +76,19 @@
 	}
 }
 
+// sampleAgeUnit is the unit of the ages in a sample.
+const sampleAgeUnit = 100 * time.Millisecond
+
 func encodeState(in gateway.StateMessage) *gatewaypb.State {
 	out := &gatewaypb.State{Sender: encodeMember(in.Sender), Ask: in.WantsReply}
 	for _, m := range in.Members {
 		out.Others = append(out.Others, encodeMember(m))
 	}
+	for _, e := range in.Sample {
+		// Rounded up, as an age that falls from one instance to the next never ends.
+		age := (e.Age + sampleAgeUnit - 1) / sampleAgeUnit
+		out.Sample = append(out.Sample, e.Hash<<8|uint32(min(age, 255)))
+	}
 	return out
 }
 
@@ -89,6 +97,9 @@
 	for _, m := range in.GetOthers() {
 		out.Members = append(out.Members, decodeMember(m))
 	}
+	for _, e := range in.GetSample() {
+		out.Sample = append(out.Sample, gateway.SampledInstance{Hash: e >> 8, Age: time.Duration(e&255) * sampleAgeUnit})
+	}
 	return out
 }
 
