node/gateway: a connection on which a request has arrived is not closed as idle

Cause: a stop closes idle connections with SetKeepAlivesEnabled. net/http takes a connection for idle until it has read the head of the next request, so it closed connections whose request it then served nevertheless. The window is as long as the instance takes to read the head, some 0.1 s while it is busy.

Now a connection of a caller notes the first byte of a request. While idle connections are closed, one in use stays open and is closed after its answer, and one that is closed first passes nothing on that arrives later. A stop also waits for requests whose head is still arriving.

--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -113,7 +113,7 @@
 	limits := defaultLimits
 	s.limits.Store(&limits)
 	s.connections = newCallerConnections(func() time.Duration { return s.limits.Load().IdleTimeout })
-	s.http = newServer(l, s)
+	s.http = newServer(callerListener{l, s.connections}, s)
 	s.http.ConnState = s.connections.connState
 	return s
 }
@@ -142,7 +142,7 @@
 // after it has begun.
 func (s *callerServer) drain(ctx context.Context) {
 	s.listener.stopAccepting()
-	s.http.SetKeepAlivesEnabled(false)
+	s.connections.closeIdle(s.http)
 	check := time.NewTicker(drainCheckInterval)
 	defer check.Stop()
 	for s.connections.inUse() && ctx.Err() == nil {
--- a/node/gateway/connections.go
+++ b/node/gateway/connections.go
@@ -15,13 +15,107 @@
 
 	mu     sync.Mutex // guards the fields below; held for map operations only
 	timers map[net.Conn]*time.Timer
+	// idle are the connections that wait for a request of which nothing has arrived.
+	idle map[net.Conn]bool
+	// closingIdle is set while net/http closes the connections that it takes for idle.
+	closingIdle bool
 	// busy are the connections that are not idle. The value is the time at which the
 	// connection was opened until its first request has been read, and then zero.
 	busy map[net.Conn]time.Time
 }
 
 func newCallerConnections(limit func() time.Duration) *callerConnections {
-	return &callerConnections{limit: limit, timers: make(map[net.Conn]*time.Timer), busy: make(map[net.Conn]time.Time)}
+	return &callerConnections{limit: limit, timers: make(map[net.Conn]*time.Timer), idle: make(map[net.Conn]bool), busy: make(map[net.Conn]time.Time)}
+}
+
+// callerConn is a connection of a caller. net/http treats a connection as idle until it has
+// read the head of the next request, and would close it and still serve the request. Here a
+// request either arrives before the close, which then waits for the answer, or is not read.
+type callerConn struct {
+	net.Conn
+	connections *callerConnections
+
+	// The fields below are guarded by connections.mu. requestArrived is set from the first
+	// byte of a request until net/http has read its head, closing from the close.
+	requestArrived, closing bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.connections.bytesArrived(c) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Close implements net.Conn. It has no effect on a connection in use while idle connections
+// are closed; net/http closes the connection after the answer, and reports that it is closed.
+func (c *callerConn) Close() error {
+	if !c.connections.beginClose(c) {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the writing side, so that the caller can read the last answer.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// callerListener returns the connections that it accepts as callerConn.
+type callerListener struct {
+	*drainingListener
+	connections *callerConnections
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.drainingListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: conn, connections: l.connections}, nil
+}
+
+// bytesArrived marks an idle connection as in use. It reports false if the connection is
+// being closed.
+func (cc *callerConnections) bytesArrived(c *callerConn) bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.idle[c] {
+		delete(cc.idle, c)
+		c.requestArrived, cc.busy[c] = true, time.Time{}
+	}
+	return !c.closing
+}
+
+// beginClose reports whether a connection may be closed now, and marks it as being closed
+// then.
+func (cc *callerConnections) beginClose(c *callerConn) bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if c.requestArrived || cc.closingIdle && !cc.idle[c] {
+		return false
+	}
+	c.closing = true
+	return true
+}
+
+// closeIdle makes the server close its idle connections and all others after their answer.
+func (cc *callerConnections) closeIdle(server interface{ SetKeepAlivesEnabled(bool) }) {
+	cc.setClosingIdle(true)
+	server.SetKeepAlivesEnabled(false)
+	cc.setClosingIdle(false)
+}
+
+func (cc *callerConnections) setClosingIdle(closing bool) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.closingIdle = closing
 }
 
 // maxFreshTime is how long a stop waits for the first request on a new connection.
@@ -51,6 +145,17 @@
 	default:
 		delete(cc.busy, c)
 	}
+	if c, ok := c.(*callerConn); ok {
+		c.requestArrived = false
+		if state == http.StateClosed {
+			_ = c.Conn.Close() // again, unless Close has left it open
+		}
+	}
+	if state == http.StateIdle {
+		cc.idle[c] = true
+	} else {
+		delete(cc.idle, c)
+	}
 	switch state {
 	case http.StateIdle:
 		if t := cc.timers[c]; t != nil {
--- a/node/gateway/connections_test.go
+++ b/node/gateway/connections_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,3 +122,90 @@
 		t.Errorf("got %d requests at the core, want 1, the one within the limit", len(inputs))
 	}
 }
+
+// Guards against a request that is accepted but whose connection is closed during a planned
+// stop: net/http takes a connection for idle until it has read the head of a request.
+func TestConnectionOnWhichARequestHasArrivedIsNotClosedAsIdle(t *testing.T) {
+	for name, arrived := range map[string]bool{"request has arrived": true, "nothing has arrived": false} {
+		t.Run(name, func(t *testing.T) {
+			connections := newCallerConnections(func() time.Duration { return time.Minute })
+			serverSide, callerSide := net.Pipe()
+			defer callerSide.Close()
+			conn := &callerConn{Conn: serverSide, connections: connections}
+			for _, state := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
+				connections.connState(conn, state)
+			}
+			if arrived {
+				go func() { _, _ = callerSide.Write([]byte("G")) }()
+				if _, err := conn.Read(make([]byte, 1)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if connections.inUse() != arrived {
+				t.Errorf("the connection is in use: got %v, want %v", !arrived, arrived)
+			}
+			connections.closeIdle(closer{conn})
+			_ = callerSide.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+			_, err := callerSide.Read(make([]byte, 1))
+			if open := !errors.Is(err, io.EOF); open != arrived {
+				t.Errorf("the connection is open after a close of idle connections: got %v, want %v", open, arrived)
+			}
+			connections.connState(conn, http.StateClosed)
+			if _, err := conn.Read(make([]byte, 1)); err == nil || connections.inUse() || len(connections.idle) != 0 {
+				t.Error("the connection is open or in use after net/http has ended it")
+			}
+		})
+	}
+}
+
+// closer closes a connection as net/http closes those that it takes for idle.
+type closer struct{ conn net.Conn }
+
+func (c closer) SetKeepAlivesEnabled(bool) { _ = c.conn.Close() }
+
+// Guards against the same on a running server: each request that reaches the handler gets an
+// answer, also if the server closes its idle connections when it arrives.
+func TestRequestThatArrivesWithTheCloseOfIdleConnectionsIsAnswered(t *testing.T) {
+	for range 300 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		connections := newCallerConnections(func() time.Duration { return time.Minute })
+		var handled atomic.Int32
+		server := &http.Server{ConnState: connections.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			handled.Add(1)
+			w.WriteHeader(http.StatusOK)
+		})}
+		go func() {
+			_ = server.Serve(callerListener{newDrainingListener(listener.(*net.TCPListener)), connections}) // ends with Close
+		}()
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReader(conn)
+		answers := 0
+		request := func() {
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") // the server may have closed it
+		}
+		read := func() {
+			if resp, err := http.ReadResponse(reader, nil); err == nil {
+				answers++
+				resp.Body.Close()
+			}
+		}
+		request()
+		read()
+		done := make(chan struct{})
+		go func() { connections.closeIdle(server); close(done) }()
+		request()
+		read()
+		<-done
+		if int(handled.Load()) != answers {
+			t.Fatalf("%d requests were handled, and %d answered", handled.Load(), answers)
+		}
+		conn.Close()
+		server.Close()
+	}
+}
