--- a/node/gateway/upstream_test.go
+++ b/node/gateway/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,8 +18,8 @@
 )
 
 // testProtocol is a Protocol with short header names: X-Id is the attempt ID, X-Wait the
-// remaining time, X-Target the target's ID, X-Stamp the stamp, and X-Not-Run states that the
-// target did not run the request.
+// remaining time, X-Target the target's ID, X-Stamp the stamp, X-Limit the rate limit, and
+// X-Not-Run states that the target did not run the request.
 type testProtocol struct{}
 
 func (testProtocol) ParseCaller(h http.Header) gateway.CallerHeaders {
@@ -33,7 +34,11 @@
 	return fmt.Appendf(lines, "X-Wait: %dms\r\nX-Target: %s\r\n", headers.Remaining.Milliseconds(), headers.Target)
 }
 func (testProtocol) ParseReply(h http.Header) gateway.ReplyHeaders {
-	return gateway.ReplyHeaders{AttemptID: h.Get("X-Id"), Stamp: h.Get("X-Stamp"), NotExecuted: h.Get("X-Not-Run") != ""}
+	headers := gateway.ReplyHeaders{AttemptID: h.Get("X-Id"), Stamp: h.Get("X-Stamp"), NotExecuted: h.Get("X-Not-Run") != ""}
+	if limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
+		headers.RateLimit, headers.HasRateLimit = limit, true
+	}
+	return headers
 }
 func (testProtocol) SetGathered(h http.Header, stamps []string, missing int) {
 	h.Set("X-Stamps", strings.Join(stamps, ","))
@@ -183,6 +188,23 @@
 	}
 }
 
+// Guards against a rate limit that the core does not hear of, in an answer or a refusal.
+func TestRateLimitOfATargetIsReported(t *testing.T) {
+	for status, want := range map[string]gateway.Outcome{"200 OK": gateway.OutcomeSuccess, "503 Busy": gateway.OutcomeShed, "500 Error": gateway.OutcomeFailure} {
+		notRun := ""
+		if want == gateway.OutcomeShed {
+			notRun = "X-Not-Run: 1\r\n"
+		}
+		target := startTarget(t, func(int, int) string {
+			return "HTTP/1.1 " + status + "\r\nX-Id: a\r\nX-Stamp: st\r\n" + notRun + "X-Limit: 22.9\r\nContent-Length: 0\r\n\r\n"
+		})
+		ended, _ := newTestUpstream().send(target, "GET", "a", "")
+		if ended.Outcome != want || !ended.HasRateLimit || ended.RateLimit != 22.9 {
+			t.Errorf("status %s: got outcome %v, limit %v, want %v and a limit of 22.9", status, ended.Outcome, ended.RateLimit, want)
+		}
+	}
+}
+
 // Guards against complete answers that count as broken. An answer without a length ends
 // with its connection.
 func TestCompleteAnswersAreSuccesses(t *testing.T) {
