testbed/soak: the store comes back from a copy during the faults

The copy is taken at the start of each phase of faults, and the store comes back from it about once in 12 faults; operators and servers write again what it lacks up to 1 s later. The checks after the phase are unchanged: draining, evacuation, configuration and the planned stop have to hold within their bounds.

--- a/testbed/soak/deployment.go
+++ b/testbed/soak/deployment.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -117,6 +119,8 @@
 	// leads to the service plainN.
 	plainStep int
 	version   int // of the latest published configuration
+	// configuration is the latest published configuration, as it is stored.
+	configuration string
 }
 
 // The places are assigned round robin: serverPlaces to the servers of each
@@ -204,7 +208,19 @@
 	if err != nil {
 		panic(err) // cannot fail: plain values only
 	}
-	d.store.Put("op/config", string(raw))
+	d.configuration = string(raw)
+	d.store.Put("op/config", d.configuration)
+}
+
+// restoreStore makes the store come back from its copy. After a delay operators and servers
+// write again what the copy lacks.
+func (d *deployment) restoreStore(delay time.Duration) {
+	d.store.Restore()
+	time.Sleep(delay)
+	d.store.Put("op/config", d.configuration)
+	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
+		d.announce(d.servers[id], "ready")
+	}
 }
 
 // addInstance starts an instance with its own address and keeps it running.
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -59,9 +59,10 @@
 	cfg        Config
 	deployment *deployment
 	rng        *rand.Rand
-	// floodRNG draws the floods, so that the other faults of a seed stay the same.
-	floodRNG *rand.Rand
-	report   *report
+	// floodRNG and restoreRNG draw the floods and the restores of the store, so that the other
+	// faults of a seed stay the same.
+	floodRNG, restoreRNG *rand.Rand
+	report               *report
 	// undisturbed is set while no fault is active, so that every request must be
 	// answered.
 	undisturbed atomic.Bool
@@ -80,7 +81,8 @@
 	if err != nil {
 		return Result{}, err
 	}
-	r := &runner{cfg: cfg, deployment: d, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), floodRNG: rand.New(rand.NewPCG(cfg.Seed, 2)), report: &report{}}
+	r := &runner{cfg: cfg, deployment: d, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), floodRNG: rand.New(rand.NewPCG(cfg.Seed, 2)),
+		restoreRNG: rand.New(rand.NewPCG(cfg.Seed, 3)), report: &report{}}
 	if err := d.waitReady(readyTimeout); err != nil {
 		return Result{}, err
 	}
@@ -123,12 +125,24 @@
 func (r *runner) injectFaults() {
 	kinds := []func(){r.kill, r.terminate, r.freeze, r.sendHUP, r.disturbStore, r.disturbServer, r.shedRequests, r.dropAnswers, r.publish, r.forgetHistory, r.failStore}
 	r.floodAnswers()
+	r.deployment.store.Copy()
 	for range 6 + r.rng.IntN(8) {
 		kinds[r.rng.IntN(len(kinds))]()
 		time.Sleep(time.Duration(r.rng.IntN(400)) * time.Millisecond)
+		if r.restoreRNG.IntN(12) == 0 {
+			r.restoreStore()
+		}
 	}
 }
 
+// restoreStore makes the store lose what was written since its copy, which is written again
+// up to 1 s later.
+func (r *runner) restoreStore() {
+	delay := time.Duration(r.restoreRNG.IntN(1000)) * time.Millisecond
+	r.log("the store comes back from a copy, and what it lacks is written again after %v", delay)
+	r.deployment.restoreStore(delay)
+}
+
 func (r *runner) randomInstance() *instance {
 	return r.deployment.instances[r.rng.IntN(len(r.deployment.instances))]
 }
