--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -195,9 +195,9 @@
 	// each refusal then costs a round trip at the shards that are late already.
 	directAfterRefusal = time.Second
 
-	// gossipInterval is the time between two rounds of state messages. Each message
-	// has about 700 bytes and is answered, so an instance has about 3 KB/s of control
-	// traffic in a fleet of any size.
+	// gossipInterval is the time between two rounds of state messages. Each message has 0.7
+	// to 1.4 KB and is answered, so an instance has 3 to 6 KB/s of control traffic in a fleet
+	// of any size.
 	gossipInterval = time.Second
 	// startGossipInterval replaces gossipInterval right after the start, so that the
 	// fleet is known before the instance decides whether to read the store itself.
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -87,6 +87,7 @@
 	g.removeTarget(t)
 }
 
+// forgetDepartures removes the departures that no copy of the store can be older than.
 func (g *Gateway) forgetDepartures() {
 	maps.DeleteFunc(g.restore.departures, func(_ model.TargetID, d departure) bool { return g.now-d.at > departureMemory })
 }
