core/gateway: the next era of the store is fetched in the own data centre first

After a restore each of 295 instances fetched the whole content from the first member that it heard of in the next era, mostly across data centres, although its source delivered the same a moment later.

Cause: while the store is lost, an instance fetches at once from any member that is ahead. A new era makes the fetch a complete one, 300 KB or more.

The sources (readers and relays) are not changed.

--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -86,6 +86,10 @@
 	// fetchedAt is when the last FetchState was emitted.
 	maxCapacity float64
 	fetchedAt   time.Duration
+	// laterEra is the latest era of the store that a member was in while this instance was
+	// not, since laterEraSince.
+	laterEra      uint64
+	laterEraSince time.Duration
 }
 
 // fleetSize returns the number of instances for which shares are computed: the
@@ -296,6 +300,16 @@
 	m.MemberState, m.heardAt = s, g.now
 }
 
+// mayFetchEra reports whether everything may be fetched from a member in a later era of the
+// store. All instances need everything then and mostly get it from their source, so a member
+// in another data centre is asked only if that takes twice sourceBehindAfter.
+func (g *Gateway) mayFetchEra(m *member) bool {
+	if m.Era > g.members.laterEra {
+		g.members.laterEra, g.members.laterEraSince = m.Era, g.now
+	}
+	return m.Place == g.cfg.Place || g.now-g.members.laterEraSince > 2*sourceBehindAfter
+}
+
 // fetchIfBehind fetches the store's content from a member that knows a later state if
 // this instance's source has not delivered that state within sourceBehindAfter, or at
 // once while the store is lost or not known yet. It also does so at once shortly after the
@@ -308,6 +322,9 @@
 		m.aheadSince = 0
 		return
 	}
+	if own.position().BeforeEra(s.position()) && !g.mayFetchEra(m) {
+		return
+	}
 	if m.aheadSince == 0 {
 		m.aheadSince = g.now
 	}
--- a/core/gateway/restore_test.go
+++ b/core/gateway/restore_test.go
@@ -159,3 +159,24 @@
 		})
 	}
 }
+
+// Guards against a copy of the whole store that crosses data centres to each instance after
+// a restore, and against an instance that stays in the earlier era if its source is behind.
+func TestNextEraIsFetchedInTheOwnDataCentreFirst(t *testing.T) {
+	for place, want := range map[model.PlaceID]int{"ikeja": 1, "lekki": 0} {
+		h, _ := newHarnessBeforeRestore(t)
+		h.step(StoreFailed{Cause: "refused"})
+		m := otherMember(0)
+		m.Place, m.Era, m.Revision, m.Configuration, m.Heartbeat = place, 2, 10, 1, 10
+		h.receiveState(m)
+		if len(h.fetches) != want {
+			t.Errorf("got %d fetches from a member in %s at once, want %d", len(h.fetches), place, want)
+		}
+		h.run(2*sourceBehindAfter + 100*ms)
+		m.Heartbeat++
+		h.receiveState(m)
+		if len(h.fetches) == 0 {
+			t.Errorf("got no fetch from a member in %s although no other instance delivered the next era", place)
+		}
+	}
+}
