core/gateway: the wait for the next era of the store counts once

An instance whose source does not deliver the next era stayed in the earlier one for 2.4 s or more after the first news of it, instead of the 1.6 s that design.md states, unless it had lost the store.

Cause: the time since which a member is known to be ahead was set only after the wait for the own data centre, so sourceBehindAfter began again then. It is set with the first news now. The test fails without this: 0 fetches, 1 wanted.

--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -322,12 +322,12 @@
 		m.aheadSince = 0
 		return
 	}
-	if own.position().BeforeEra(s.position()) && !g.mayFetchEra(m) {
-		return
-	}
 	if m.aheadSince == 0 {
 		m.aheadSince = g.now
 	}
+	if own.position().BeforeEra(s.position()) && !g.mayFetchEra(m) {
+		return
+	}
 	starting := g.store.relayed && g.now-g.startedAt < sourceStartDelay
 	interval := gossipInterval / 2
 	if starting {
--- a/core/gateway/restore_test.go
+++ b/core/gateway/restore_test.go
@@ -180,3 +180,19 @@
 		}
 	}
 }
+
+// Guards against an instance that stays in the earlier era for longer than it takes to wait
+// for its source, because the time in which it waits counts twice.
+func TestNextEraIsFetchedElsewhereAfterTheWait(t *testing.T) {
+	h, _ := newHarnessBeforeRestore(t)
+	m := otherMember(0)
+	m.Place, m.Era, m.Revision, m.Configuration = "lekki", 2, 10, 1
+	for beat := range uint64(2) {
+		m.Heartbeat = 10 + beat
+		h.receiveState(m)
+		h.run(2*sourceBehindAfter + 100*ms)
+	}
+	if len(h.fetches) != 1 {
+		t.Errorf("got %d fetches from a member that has been ahead for %v, want 1", len(h.fetches), 2*sourceBehindAfter)
+	}
+}
