--- a/core/gateway/config.go
+++ b/core/gateway/config.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -141,3 +142,9 @@
 	// Report numbers the reports of one incarnation.
 	Report int64
 }
+
+// CompareReports orders the reports of one target: it returns a negative number if t is the
+// earlier one, and a positive number if other is.
+func (t Target) CompareReports(other Target) int {
+	return cmp.Or(cmp.Compare(t.StartedAtMillis, other.StartedAtMillis), cmp.Compare(t.Report, other.Report))
+}
--- a/core/gateway/doc.go
+++ b/core/gateway/doc.go
@@ -31,6 +31,6 @@
 //   - The version of the configuration in force never decreases.
 //   - A target is sent work only while it is listed as ready, its data centre is
 //     not evacuated, and this instance uses less than its share of the target's
-//     connections and of the rate limit that the target states. A ready target whose entry lapsed in an outage of the store still
-//     counts as listed for lapseGrace.
+//     connections and of the rate limit that the target states. A ready target whose
+//     entry lapsed in an outage of the store still counts as listed for lapseGrace.
 package gateway
--- a/core/gateway/placement.go
+++ b/core/gateway/placement.go
@@ -50,11 +50,12 @@
 	return !t.gone && t.State == TargetReady && !g.evacuated[t.Place]
 }
 
-// isUsable reports whether a target may be sent new work now: it is eligible, up or due to
-// be tried again, and within its rate limit.
-func (g *Gateway) isUsable(t *target) bool {
-	return g.isEligible(t) && t.downUntil <= g.now && g.withinRateLimit(t)
-}
+// isUp reports whether a target is eligible, and up or due to be tried again.
+func (g *Gateway) isUp(t *target) bool { return g.isEligible(t) && t.downUntil <= g.now }
+
+// isUsable reports whether a target may be sent new work now: it is up and within its rate
+// limit.
+func (g *Gateway) isUsable(t *target) bool { return g.isUp(t) && g.withinRateLimit(t) }
 
 // estimate returns the expected time until a target answers an attempt that is sent
 // now.
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -111,9 +111,7 @@
 // hasLimitedTarget reports whether a target of the service is up but not within its rate
 // limit.
 func (g *Gateway) hasLimitedTarget(s *service) bool {
-	return slices.ContainsFunc(s.targets, func(t *target) bool {
-		return g.isEligible(t) && t.downUntil <= g.now && !g.withinRateLimit(t)
-	})
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return g.isUp(t) && !g.withinRateLimit(t) })
 }
 
 // unusableReason completes the reason why no target of a service is usable.
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"maps"
 	"time"
 
@@ -26,9 +25,9 @@
 
 // departure is the last report of a target that has left.
 type departure struct {
-	startedAtMillis, report int64
-	era                     uint64 // of the store when the target left
-	at                      time.Duration
+	Target
+	era uint64 // of the store when the target left
+	at  time.Duration
 }
 
 // storeRestored notes that the store has come back from an older copy.
@@ -64,30 +63,24 @@
 // ignored if a later report of the target is known.
 func (g *Gateway) entryRead(in Target) {
 	era := g.store.position.Era
-	if t := g.targets[in.ID]; t != nil && t.era < era && in.compareReport(t.StartedAtMillis, t.Report) < 0 {
+	if t := g.targets[in.ID]; t != nil && t.era < era && in.CompareReports(t.Target) < 0 {
 		t.lapsedAt = 0
 		return
 	}
-	if d, left := g.restore.departures[in.ID]; left && d.era < era && in.compareReport(d.startedAtMillis, d.report) <= 0 {
+	if d, left := g.restore.departures[in.ID]; left && d.era < era && in.CompareReports(d.Target) <= 0 {
 		return
 	}
 	delete(g.restore.departures, in.ID)
 	g.upsertTarget(in)
 }
 
-// compareReport compares the report with another one of the same target, of the incarnation
-// that started at startedAtMillis: it returns a negative number if this one is earlier.
-func (t *Target) compareReport(startedAtMillis, report int64) int {
-	return cmp.Or(cmp.Compare(t.StartedAtMillis, startedAtMillis), cmp.Compare(t.Report, report))
-}
-
 // targetLeft removes a target whose entry was removed.
 func (g *Gateway) targetLeft(t *target) {
-	g.restore.departures[t.ID] = departure{startedAtMillis: t.StartedAtMillis, report: t.Report, era: g.store.position.Era, at: g.now}
+	g.restore.departures[t.ID] = departure{Target: t.Target, era: g.store.position.Era, at: g.now}
 	g.removeTarget(t)
 }
 
-// forgetDepartures removes the departures that no copy of the store can be older than.
+// forgetDepartures removes the departures that are older than any copy of the store.
 func (g *Gateway) forgetDepartures() {
 	maps.DeleteFunc(g.restore.departures, func(_ model.TargetID, d departure) bool { return g.now-d.at > departureMemory })
 }
