review: case 1, a promise not to have run for a booking that ran

Cause: failRequest passes on the status of a failed attempt, and a server's 503 without Galenadyke-Not-Executed may stand for a request that ran.

--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,84 @@
+// Command review-standin runs one case of the review: stand-ins of the platform's store, of
+// servers and of clients, around processes of the system.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Exit statuses of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitUnable = 2
+)
+
+var (
+	cleanups []func()
+	record   *os.File
+	started  = time.Now()
+)
+
+// atEnd registers f to be called before the process ends.
+func atEnd(f func()) { cleanups = append(cleanups, f) }
+
+func end(status int) {
+	for i := len(cleanups) - 1; i >= 0; i-- {
+		cleanups[i]()
+	}
+	os.Exit(status)
+}
+
+// cannotRun ends the case because it can't run.
+func cannotRun(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, "the case can't run: "+format+"\n", args...)
+	end(exitUnable)
+}
+
+// note writes a line to the record and to standard output.
+func note(format string, args ...any) {
+	line := fmt.Sprintf(format, args...)
+	fmt.Println(line)
+	recordLine("%s", line)
+}
+
+// recordLine writes a line to the record.
+func recordLine(format string, args ...any) { fmt.Fprintf(record, format+"\n", args...) }
+
+// seconds returns a time as seconds since the start of the case.
+func seconds(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(started).Seconds()) }
+
+var cases = map[string]func(dir string, trouble bool) (broken bool){}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE FOLDER")
+		os.Exit(exitUnable)
+	}
+	var err error
+	if record, err = os.Create(filepath.Join(os.Args[2], "record.txt")); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUnable)
+	}
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		cannotRun("%v", err)
+	}
+	atEnd(func() { os.RemoveAll(dir) })
+	if keep := os.Getenv("KEEP"); keep != "" {
+		cleanups = nil
+		dir = keep
+	}
+	time.AfterFunc(110*time.Second, func() { cannotRun("it takes too long") })
+	trouble := os.Getenv("TROUBLE") != "0"
+	recordLine("case %s, trouble %v", os.Args[1], trouble)
+	if cases[os.Args[1]](dir, trouble) {
+		note("the rule was broken")
+		end(exitBroken)
+	}
+	note("the rule held")
+	end(exitHeld)
+}
--- /dev/null
+++ b/review/standin/store.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// item is an item of the platform's store, or its deletion.
+type item struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Rev     uint64 `json:"rev"`
+	Created uint64 `json:"created"`
+	Lease   int    `json:"lease"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// store is a stand-in of the platform's store (PROTOCOL.md, "The platform's metadata store").
+type store struct {
+	address string
+	server  *http.Server
+
+	mu       sync.Mutex
+	items    map[string]item
+	history  []item
+	revision uint64
+	changed  chan struct{}
+	// down makes the store answer every read with 503 and do nothing. Writes fail too.
+	down bool
+}
+
+func startStore(ip string) *store {
+	s := &store{items: map[string]item{}, revision: 100, changed: make(chan struct{})}
+	l := listen(ip)
+	s.address = l.Addr().String()
+	s.server = &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(l) }()
+	return s
+}
+
+func listen(ip string) net.Listener {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		cannotRun("listen: %v", err)
+	}
+	return l
+}
+
+// setDown starts or ends an outage: every call is answered with 503.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes an item. It reports false if the store is down.
+func (s *store) put(key string, value any) bool {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		cannotRun("encode: %v", err)
+	}
+	return s.write(item{Key: key, Value: raw})
+}
+
+func (s *store) remove(key string) bool { return s.write(item{Key: key, Deleted: true}) }
+
+func (s *store) write(i item) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false
+	}
+	s.revision++
+	i.Rev, i.Created = s.revision, s.revision
+	if old, ok := s.items[i.Key]; ok {
+		i.Created = old.Created
+	}
+	if i.Deleted {
+		delete(s.items, i.Key)
+	} else {
+		s.items[i.Key] = i
+	}
+	s.history = append(s.history, i)
+	s.wake()
+	return true
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	switch r.URL.Path {
+	case "/v1/kv-key":
+		s.serveKey(w, query.Get("key"))
+	case "/v1/kv-range":
+		s.serveRange(w, query.Get("prefix"), query.Get("after"))
+	case "/v1/kv-watch":
+		after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+		wait, waitErr := strconv.Atoi(query.Get("wait_ms"))
+		if err != nil || waitErr != nil || wait > 30000 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s.serveWatch(w, r, query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *store) serveKey(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	i, ok := s.items[key]
+	down := s.down
+	s.mu.Unlock()
+	switch {
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case !ok:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		answerJSON(w, i)
+	}
+}
+
+const storePageItems = 500
+
+func (s *store) serveRange(w http.ResponseWriter, prefix, after string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > storePageItems
+	if more {
+		keys = keys[:storePageItems]
+	}
+	items := []item{}
+	for _, key := range keys {
+		items = append(items, s.items[key])
+	}
+	answerJSON(w, map[string]any{"items": items, "more_pages": more, "store_revision": s.revision})
+}
+
+func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for expired := false; ; {
+		s.mu.Lock()
+		events := []item{}
+		for _, i := range s.history {
+			if i.Rev > after && strings.HasPrefix(i.Key, prefix) {
+				events = append(events, i)
+			}
+		}
+		revision, changed, down := s.revision, s.changed, s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if len(events) > 0 || expired {
+			answerJSON(w, map[string]any{"events": events, "store_revision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func answerJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
