--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -40,8 +40,11 @@
 	crashRate int
 	crashes   int
 	downUntil time.Time
-	stopped   bool
-	conns     map[net.Conn]bool
+	// left is set once the server has left the store, stopped once it has ended.
+	left, stopped bool
+	// lateBy returns how late the store does a write, 0 for at once; nil means always at once.
+	lateBy func() time.Duration
+	conns  map[net.Conn]bool
 }
 
 func startServer(ip, id, service, zone string, slots int, work time.Duration, st *store) *server {
@@ -71,9 +74,9 @@
 func (s *server) heartbeats() {
 	for range time.Tick(heartbeat) {
 		s.mu.Lock()
-		stopped := s.stopped
+		over := s.stopped || s.left
 		s.mu.Unlock()
-		if stopped {
+		if over {
 			return
 		}
 		s.report()
@@ -86,10 +89,26 @@
 	s.seq++
 	entry := map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots,
 		"state": "ready", "warmup_left_ms": s.warmupLeft(time.Now()).Milliseconds(), "seq": s.seq, "born": s.born}
+	lateBy := s.lateBy
 	s.mu.Unlock()
+	if lateBy != nil {
+		if late := lateBy(); late > 0 {
+			recordLine("%s the answer to the write of servers/%s is lost, seq %d", seconds(time.Now()), s.id, s.seq)
+			s.store.putLate("servers/"+s.id, entry, late)
+			return false
+		}
+	}
 	return s.store.put("servers/"+s.id, entry)
 }
 
+// leave removes the server's entry from the store. The server goes on serving.
+func (s *server) leave() bool {
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
+	return s.store.remove("servers/" + s.id)
+}
+
 // warmupLeft returns how much longer the server is cold. The caller holds mu.
 func (s *server) warmupLeft(now time.Time) time.Duration { return max(0, s.coldUntil.Sub(now)) }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -31,19 +31,47 @@
 	history  []item
 	revision uint64
 	changed  chan struct{}
+	// expiry holds when the entries of servers lapse.
+	expiry map[string]time.Time
 	// down makes the store answer every read with 503 and do nothing. Writes fail too.
 	down bool
 }
 
 func startStore(ip string) *store {
-	s := &store{items: map[string]item{}, revision: 100, changed: make(chan struct{})}
+	s := &store{items: map[string]item{}, expiry: map[string]time.Time{}, revision: 100, changed: make(chan struct{})}
 	l := listen(ip)
 	s.address = l.Addr().String()
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(l) }()
+	go s.expire()
 	return s
 }
 
+// expire removes the entries of servers that were silent for three heartbeats.
+func (s *store) expire() {
+	for now := range time.Tick(100 * time.Millisecond) {
+		s.mu.Lock()
+		var lapsed []string
+		for key, at := range s.expiry {
+			if now.After(at) && !s.down {
+				lapsed = append(lapsed, key)
+			}
+		}
+		s.mu.Unlock()
+		for _, key := range lapsed {
+			s.remove(key)
+		}
+	}
+}
+
+// putLate does a write after a delay. The writer gets no answer.
+func (s *store) putLate(key string, value any, delay time.Duration) {
+	time.AfterFunc(delay, func() {
+		recordLine("%s the store does the late write of %s: %v", seconds(time.Now()), key, value)
+		s.put(key, value)
+	})
+}
+
 func listen(ip string) net.Listener {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -87,9 +115,13 @@
 	if old, ok := s.items[i.Key]; ok {
 		i.Created = old.Created
 	}
+	delete(s.expiry, i.Key)
 	if i.Deleted {
 		delete(s.items, i.Key)
 	} else {
+		if strings.HasPrefix(i.Key, "servers/") {
+			s.expiry[i.Key] = time.Now().Add(3 * heartbeat)
+		}
 		s.items[i.Key] = i
 	}
 	s.history = append(s.history, i)
