--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -25,7 +28,10 @@
 // atEnd registers f to be called before the process ends.
 func atEnd(f func()) { cleanups = append(cleanups, f) }
 
+var endOnce sync.Mutex // held for good by the first call of end
+
 func end(status int) {
+	endOnce.Lock()
 	for i := len(cleanups) - 1; i >= 0; i-- {
 		cleanups[i]()
 	}
@@ -68,10 +74,12 @@
 		cannotRun("%v", err)
 	}
 	atEnd(func() { os.RemoveAll(dir) })
-	if keep := os.Getenv("KEEP"); keep != "" {
-		cleanups = nil
-		dir = keep
-	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		cannotRun("interrupted")
+	}()
 	time.AfterFunc(110*time.Second, func() { cannotRun("it takes too long") })
 	trouble := os.Getenv("TROUBLE") != "0"
 	recordLine("case %s, trouble %v", os.Args[1], trouble)
