review: the stand-ins let the instances find each other

Cause: an instance derives the ports of the others from its own, and the stand-ins gave each instance ports of its own, so they didn't know each other. Change: all instances have the same ports, as DEPLOY.md says; the store has an address for each instance, and a server can tell which one calls.

--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -26,7 +26,7 @@
 		servers = append(servers, startServer(fmt.Sprintf("127.0.31.%d", i+1), fmt.Sprintf("i-order%d", i), "order-desk", zones[i], 4, 30*time.Millisecond, st))
 	}
 	st.put("op/config", bookingConfig("order-desk", coldRate))
-	instances := startInstances(dir, st.address, []string{"ikeja", "lekki"})
+	instances := startInstances(dir, st, []string{"ikeja", "lekki"})
 	stop := make(chan struct{})
 	var coldAt time.Time
 	go func() {
--- a/review/standin/forged.go
+++ b/review/standin/forged.go
@@ -26,7 +26,7 @@
 	config["services"] = append(config["services"].([]any), map[string]any{"name": "crew-board", "health_path": "/health", "max_connections": 100,
 		"protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 0.0})
 	st.put("op/config", config)
-	instances := startInstances(dir, st.address, []string{"ikeja", "lekki", "yaba"})
+	instances := startInstances(dir, st, []string{"ikeja", "lekki", "yaba"})
 	stop := make(chan struct{})
 	go func() {
 		time.Sleep(5 * time.Second)
--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -31,7 +31,7 @@
 		servers = append(servers, startServer(fmt.Sprintf("127.0.31.%d", i+1), fmt.Sprintf("i-order%d", i), "order-desk", zones[i%4], 4, 200*time.Millisecond, st))
 	}
 	st.put("op/config", bookingConfig("order-desk", 0))
-	instances := startInstances(dir, st.address, []string{"ikeja", "lekki", "yaba"})
+	instances := startInstances(dir, st, []string{"ikeja", "lekki", "yaba"})
 	leaver := servers[0]
 	begin := time.Now()
 	if trouble {
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -41,7 +41,7 @@
 		servers = append(servers, startServer(fmt.Sprintf("127.0.31.%d", i+1), fmt.Sprintf("i-order%d", i), "order-desk", zones[i%4], 2, 40*time.Millisecond, st))
 	}
 	st.put("op/config", bookingConfig("order-desk", 0))
-	instances := startInstances(dir, st.address, []string{"ikeja", "lekki", "yaba"})
+	instances := startInstances(dir, st, []string{"ikeja", "lekki", "yaba"})
 	if trouble {
 		grey := servers[0]
 		grey.mu.Lock()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,7 +14,8 @@
 type run struct {
 	at     time.Time
 	id     string
-	status int // of the answer, 0 if none was sent yet
+	status int    // of the answer, 0 if none was sent yet
+	sender string // the instance that sent it, if the case follows senders
 }
 
 // server is a stand-in of a server of a service (PROTOCOL.md, "Servers").
@@ -45,19 +47,36 @@
 	// lateBy returns how late the store does a write, 0 for at once; nil means always at once.
 	lateBy func() time.Duration
 	conns  map[net.Conn]bool
+	// sender returns the instance that opened a connection; nil if the case doesn't ask.
+	sender func(net.Conn) string
+	// records is the body of the answers if it is not empty.
+	records string
 }
 
 func startServer(ip, id, service, zone string, slots int, work time.Duration, st *store) *server {
 	s := &server{id: id, service: service, zone: zone, slots: slots, work: work, born: time.Now().UnixMilli(), store: st,
 		listener: listen(ip), running: make(chan struct{}, slots), conns: map[net.Conn]bool{}}
 	s.address = s.listener.Addr().String()
-	s.http = &http.Server{Handler: s, ConnState: s.connState}
+	s.http = &http.Server{Handler: s, ConnState: s.connState, ConnContext: s.connContext}
 	go func() { _ = s.http.Serve(s.listener) }()
 	s.report()
 	go s.heartbeats()
 	return s
 }
 
+// senderKey is the context key of the instance that opened a connection.
+type senderKey struct{}
+
+func (s *server) connContext(ctx context.Context, c net.Conn) context.Context {
+	s.mu.Lock()
+	f := s.sender
+	s.mu.Unlock()
+	if f == nil {
+		return ctx
+	}
+	return context.WithValue(ctx, senderKey{}, f(c))
+}
+
 func (s *server) connState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,7 +173,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	_, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -164,7 +183,7 @@
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
 	}
-	index, status := s.begin(id, len(body))
+	index, status := s.begin(id, r)
 	if index < 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -178,15 +197,20 @@
 	s.mu.Unlock()
 	w.Header().Set("Galenadyke-Server-Stamp", s.id+"."+id)
 	w.WriteHeader(status)
+	if s.records != "" {
+		_, _ = io.WriteString(w, s.records)
+		return
+	}
 	_, _ = io.WriteString(w, "done by "+s.id+"\n")
 }
 
 // begin records that the server begins to work on a request. index is -1 if it crashes.
-func (s *server) begin(id string, _ int) (index, status int) {
+func (s *server) begin(id string, r *http.Request) (index, status int) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.runs = append(s.runs, run{at: now, id: id})
+	sender, _ := r.Context().Value(senderKey{}).(string)
+	s.runs = append(s.runs, run{at: now, id: id, sender: sender})
 	if s.crashRate > 0 && now.Before(s.coldUntil) && now.After(s.downUntil) {
 		recent := 0
 		for i := len(s.runs) - 1; i >= 0 && now.Sub(s.runs[i].at) < time.Second && s.runs[i].at.After(s.coldFrom); i-- {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -23,8 +23,8 @@
 
 // store is a stand-in of the platform's store (PROTOCOL.md, "The platform's metadata store").
 type store struct {
-	address string
-	server  *http.Server
+	ip     string
+	server *http.Server
 
 	mu       sync.Mutex
 	items    map[string]item
@@ -33,20 +33,45 @@
 	changed  chan struct{}
 	// expiry holds when the entries of servers lapse.
 	expiry map[string]time.Time
+	// silent are the addresses at which calls get no answer. Each instance has an address of its
+	// own, so that the store can turn one away.
+	silent map[string]bool
 	// down makes the store answer every read with 503 and do nothing. Writes fail too.
 	down bool
 }
 
 func startStore(ip string) *store {
-	s := &store{items: map[string]item{}, expiry: map[string]time.Time{}, revision: 100, changed: make(chan struct{})}
-	l := listen(ip)
-	s.address = l.Addr().String()
+	s := &store{items: map[string]item{}, expiry: map[string]time.Time{}, silent: map[string]bool{}, revision: 100, changed: make(chan struct{})}
+	s.ip = ip
 	s.server = &http.Server{Handler: s}
-	go func() { _ = s.server.Serve(l) }()
 	go s.expire()
 	return s
 }
 
+// newAddress returns a further address of the store.
+func (s *store) newAddress() string {
+	l := listen(s.ip)
+	go func() { _ = s.server.Serve(l) }()
+	return l.Addr().String()
+}
+
+// setSilent starts or ends a time in which calls at an address get no answer. Calls that arrive
+// in it never get one.
+func (s *store) setSilent(address string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[address] = silent
+	s.wake()
+}
+
+// isSilent reports whether a call gets no answer.
+func (s *store) isSilent(r *http.Request) bool {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ok && s.silent[local.String()]
+}
+
 // expire removes the entries of servers that were silent for three heartbeats.
 func (s *store) expire() {
 	for now := range time.Tick(100 * time.Millisecond) {
@@ -130,6 +155,10 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isSilent(r) {
+		<-r.Context().Done()
+		return
+	}
 	query := r.URL.Query()
 	switch r.URL.Path {
 	case "/v1/kv-key":
@@ -208,6 +237,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if s.isSilent(r) {
+			<-r.Context().Done()
+			return
+		}
 		if len(events) > 0 || expired {
 			answerJSON(w, map[string]any{"events": events, "store_revision": revision})
 			return
