review: a case ends its processes also if its output is closed

Cause: the stand-in ended by SIGPIPE when its standard output was closed, and left its processes behind. Result: no process left after a run into head -1.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -74,6 +74,7 @@
 		cannotRun("%v", err)
 	}
 	atEnd(func() { os.RemoveAll(dir) })
+	signal.Ignore(syscall.SIGPIPE) // a closed standard output must not keep the case from ending its processes
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
