core/gateway: a late write does not return a server that has left

Cause: the order of a server's reports was lost with its entry. The adapter compared only listed entries, the core only across eras of the store, a removal and a write in one batch reached the core as the write alone, and an instance that starts knows nothing of before.

Change: the core remembers the last report of a target that has left for a minute and ignores entries that are not later, in every era. Instances without a state of the store, or with a fresh complete read, ask others for departures with their state messages. An ignored entry that stays listed for 10 s, and so is renewed, is used.

Tests that were wrong: TestCopyOfTheStoreDoesNotReturnDepartedTargets expected a target to be used after a second write of its last report, and TestEntriesLapsedInStoreOutageStayInUse used one report number for all reports. Reports of one start rise (PROTOCOL.md), so both use rising numbers now, and the first also checks that the repeated report is ignored.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -61,6 +61,8 @@
 	roundTrips map[model.PlaceID]time.Duration
 	store      storeState
 	restore    restoreState
+	// departures are the targets that left within departureMemory.
+	departures map[model.TargetID]*departure
 
 	requests map[RequestID]*request
 	attempts map[AttemptID]*attempt
@@ -100,7 +102,8 @@
 	}
 	g.members.byName = make(map[model.InstanceID]*member)
 	g.crashes = newCrashTable()
-	g.restore = restoreState{evacuations: make(map[model.PlaceID]bool), departures: make(map[model.TargetID]departure)}
+	g.restore = restoreState{evacuations: make(map[model.PlaceID]bool)}
+	g.departures = make(map[model.TargetID]*departure)
 	return g
 }
 
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -132,8 +132,19 @@
 	// that it lacks continues, unless operators write it again or end it.
 	evacuationGrace = 10 * time.Second
 	// departureMemory is how long the last report of a target that has left is kept. It is
-	// above the age of a copy from which the store may come back.
+	// above the age of a copy from which the store may come back, and the delay of a late write.
 	departureMemory = time.Minute
+	// unrenewedEntryTime is above the time after which the store removes an entry that is not
+	// renewed: three report intervals of 1.2 s.
+	unrenewedEntryTime = 10 * time.Second
+	// departureQueryTime is how long after a complete read an instance asks others for
+	// departures, with each of its state messages.
+	departureQueryTime = 2 * gossipInterval
+	// maxSentDepartures bounds the departures that an instance is sent on each request, and
+	// maxDeparturesBytes those in one message. departureBytes is the size of one without its ID.
+	maxSentDepartures  = 400
+	maxDeparturesBytes = 1000
+	departureBytes     = 24
 	// sourceBehindAfter is how long another instance may know a later state of the
 	// store before this instance fetches that state from the other instance. Changes
 	// normally arrive from the source in less than half of that time.
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -41,6 +41,10 @@
 	Sample []SampledInstance
 	// Crashes are news of requests that were in flight at targets that crashed.
 	Crashes []CrashNews
+	// Departures are targets that have left.
+	Departures []Departure
+	// WantsDepartures requests the departures that the receiver knows, in further messages.
+	WantsDepartures bool
 	// WantsReply requests a state message in return.
 	WantsReply bool
 }
@@ -223,7 +227,7 @@
 // stateMessage returns a message with the state of this instance and of a bounded
 // random choice of the members that are alive.
 func (g *Gateway) stateMessage(wantsReply bool) StateMessage {
-	message := StateMessage{Sender: g.self(), Sample: g.refreshedSample(), WantsReply: wantsReply}
+	message := StateMessage{Sender: g.self(), Sample: g.refreshedSample(), WantsDepartures: g.wantsDepartures(), WantsReply: wantsReply}
 	crashes, crashBytes := g.regularCrashNews()
 	message.Crashes = crashes
 	maxGatherers := maxGossipGatherers - (crashBytes+memberBytes-1)/memberBytes
@@ -273,6 +277,10 @@
 	m.directAt, m.answeredAt = g.now, g.now-sender.StoreAge
 	g.receiveSample(sender.Name, in.State.Sample)
 	g.receiveCrashNews(in.State.Crashes)
+	g.receiveDepartures(in.State.Departures)
+	if in.State.WantsDepartures {
+		g.sendDepartures(sender.Address)
+	}
 	if m.tableSentTo != sender.Incarnation && sender.Heartbeat <= crashTableRounds {
 		m.tableSentTo = sender.Incarnation
 		g.sendCrashTable(sender.Address)
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -19,15 +19,6 @@
 	// at evacuationsUntil.
 	evacuations      map[model.PlaceID]bool
 	evacuationsUntil time.Duration
-	// departures are the last reports of targets that left within departureMemory.
-	departures map[model.TargetID]departure
-}
-
-// departure is the last report of a target that has left.
-type departure struct {
-	Target
-	era uint64 // of the store when the target left
-	at  time.Duration
 }
 
 // storeRestored notes that the store has come back from an older copy.
@@ -58,29 +49,3 @@
 		}
 	}
 }
-
-// entryRead applies the entry of a target. An entry that may be from a copy of the store is
-// ignored if a later report of the target is known.
-func (g *Gateway) entryRead(in Target) {
-	era := g.store.position.Era
-	if t := g.targets[in.ID]; t != nil && t.era < era && in.CompareReports(t.Target) < 0 {
-		t.lapsedAt = 0
-		return
-	}
-	if d, left := g.restore.departures[in.ID]; left && d.era < era && in.CompareReports(d.Target) <= 0 {
-		return
-	}
-	delete(g.restore.departures, in.ID)
-	g.upsertTarget(in)
-}
-
-// targetLeft removes a target whose entry was removed.
-func (g *Gateway) targetLeft(t *target) {
-	g.restore.departures[t.ID] = departure{Target: t.Target, era: g.store.position.Era, at: g.now}
-	g.removeTarget(t)
-}
-
-// forgetDepartures removes the departures that are older than any copy of the store.
-func (g *Gateway) forgetDepartures() {
-	maps.DeleteFunc(g.restore.departures, func(_ model.TargetID, d departure) bool { return g.now-d.at > departureMemory })
-}
--- a/core/gateway/restore_test.go
+++ b/core/gateway/restore_test.go
@@ -66,10 +66,15 @@
 	if used := h.usedTargets(); !used["s-1"] {
 		t.Error("a target that reported after the restore got no request")
 	}
-	// A removal in the present era is not a matter of a copy: the target may register again.
+	// After a removal in the present era the target may register again. Its reports rise, so
+	// only a later one is not a late write.
 	h.step(StoreRead{Era: 2, Revision: 43, Removed: []model.TargetID{"s-1"}})
 	h.run(3 * lapseGrace)
 	h.step(StoreRead{Era: 2, Revision: 44, Targets: []Target{withReport(targets[1], 30, TargetReady)}})
+	if used := h.usedTargets(); used["s-1"] {
+		t.Error("a target that had left got a request because of a write of its last report")
+	}
+	h.step(StoreRead{Era: 2, Revision: 45, Targets: []Target{withReport(targets[1], 31, TargetReady)}})
 	if used := h.usedTargets(); !used["s-1"] {
 		t.Error("a target that registered again in the same era got no request")
 	}
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -83,6 +83,8 @@
 	known    bool // whether a complete read has arrived
 	relayed  bool // whether the last read came from another instance
 	position StorePosition
+	// completeAt is when the last complete read arrived.
+	completeAt time.Duration
 	// answeredAt is when the store last answered this instance or its source.
 	answeredAt time.Duration
 	// lost is set while the store does not answer this instance or its source, and
@@ -152,7 +154,7 @@
 // replaceAll applies a complete read: targets and evacuations that it lacks are
 // removed.
 func (g *Gateway) replaceAll(in StoreRead) {
-	g.store.known = true
+	g.store.known, g.store.completeAt = true, g.now
 	inRead := make(map[model.TargetID]bool, len(in.Targets))
 	for _, t := range in.Targets {
 		inRead[t.ID] = true
@@ -163,6 +165,11 @@
 			g.entryRemoved(id)
 		}
 	}
+	for id, d := range g.departures {
+		if !inRead[id] {
+			d.ignored = nil
+		}
+	}
 	evacuatedInRead := make(map[model.PlaceID]bool, len(in.Evacuated))
 	for _, p := range in.Evacuated {
 		evacuatedInRead[p] = true
@@ -252,6 +259,9 @@
 // the entries of live targets lapse too, so a ready target stays in use until
 // lapseGrace after the store has returned.
 func (g *Gateway) entryRemoved(id model.TargetID) {
+	if d := g.departures[id]; d != nil {
+		d.ignored = nil
+	}
 	t := g.targets[id]
 	if t == nil {
 		return
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -89,7 +89,7 @@
 	return raw, err
 }
 
-// stateAgeUnit is the unit of the ages in a sample and of crashes.
+// stateAgeUnit is the unit of the ages in a sample, of crashes and of departures.
 const stateAgeUnit = 100 * time.Millisecond
 
 // encodeAge returns an age in units. It is rounded up, as an age that falls from one instance
@@ -99,7 +99,7 @@
 }
 
 func encodeState(in gateway.StateMessage) *gatewaypb.State {
-	out := &gatewaypb.State{Sender: encodeMember(in.Sender), Ask: in.WantsReply}
+	out := &gatewaypb.State{Sender: encodeMember(in.Sender), Ask: in.WantsReply, AskDepartures: in.WantsDepartures}
 	for _, m := range in.Members {
 		out.Others = append(out.Others, encodeMember(m))
 	}
@@ -107,11 +107,15 @@
 		out.Sample = append(out.Sample, e.Hash<<8|min(encodeAge(e.Age), 255))
 	}
 	out.Crashes = encodeCrashes(in.Crashes)
+	for _, d := range in.Departures {
+		out.Departures = append(out.Departures, &gatewaypb.Departure{Target: string(d.Target), Started: d.StartedAtMillis,
+			Report: d.Report, Age: encodeAge(d.Age)})
+	}
 	return out
 }
 
 func decodeState(in *gatewaypb.State) gateway.StateMessage {
-	out := gateway.StateMessage{Sender: decodeMember(in.GetSender()), WantsReply: in.GetAsk()}
+	out := gateway.StateMessage{Sender: decodeMember(in.GetSender()), WantsReply: in.GetAsk(), WantsDepartures: in.GetAskDepartures()}
 	for _, m := range in.GetOthers() {
 		out.Members = append(out.Members, decodeMember(m))
 	}
@@ -121,6 +125,10 @@
 	for _, c := range in.GetCrashes() {
 		out.Crashes = appendCrashes(out.Crashes, c)
 	}
+	for _, d := range in.GetDepartures() {
+		out.Departures = append(out.Departures, gateway.Departure{Target: model.TargetID(d.GetTarget()), StartedAtMillis: d.GetStarted(),
+			Report: d.GetReport(), Age: time.Duration(d.GetAge()) * stateAgeUnit})
+	}
 	return out
 }
 
--- a/node/gateway/state_test.go
+++ b/node/gateway/state_test.go
@@ -92,6 +92,26 @@
 	}
 }
 
+// Guards against departures that are changed on their way, or that live on because ages shrink.
+func TestDeparturesAreDecodedAsSent(t *testing.T) {
+	sent := gateway.StateMessage{Sender: gateway.MemberState{Name: "a"}, WantsDepartures: true, Departures: []gateway.Departure{
+		{Target: "i-1", StartedAtMillis: 1 << 41, Report: 1 << 40, Age: 59 * time.Second},
+		{Target: "i-2", Age: 50 * time.Millisecond},
+	}}
+	raw, err := marshalState(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var in gatewaypb.State
+	if err := proto.Unmarshal(raw, &in); err != nil {
+		t.Fatal(err)
+	}
+	sent.Departures[1].Age = 100 * time.Millisecond
+	if got := decodeState(&in); !got.WantsDepartures || !slices.Equal(got.Departures, sent.Departures) {
+		t.Errorf("got %+v, want %+v", got.Departures, sent.Departures)
+	}
+}
+
 // Guards against state messages that the receiver refuses because of their news and long names.
 func TestStateMessageFitsADatagram(t *testing.T) {
 	sender := gateway.MemberState{Name: model.InstanceID("front-" + strings.Repeat("x", 30)), Address: "10.255.255.255:65535",
