core/gateway: a forwarder keeps to its own configuration

Cause: a forwarder made the attempts of a batch at whatever targets it named. An instance that the store turns away has the older version for up to a second, and the others went back on its behalf. In the other direction an instance that was behind forwarded to new shards and then sent its own requests to old ones.

Change: a forwarder refuses attempts at services that its own configuration does not have as shards of the route. The sender makes these itself.

Evidence: without the change 5 of 6 cases of TestForwarderKeepsToItsConfiguration fail.

--- a/core/gateway/batch.go
+++ b/core/gateway/batch.go
@@ -23,6 +23,11 @@
 // targets, and it hedges, retries and counts the attempts. A forwarder makes each attempt
 // at most once. A slow or silent forwarder thus costs a hedge, and the bounds on attempts
 // and retries hold without messages about them.
+//
+// While a configuration spreads, the sender and the forwarder may have different ones. A
+// forwarder sends no attempt that its own configuration does not allow, as an instance that has
+// sent requests by a later configuration must not go back to an earlier one, be it for another
+// instance. The sender makes such attempts itself.
 
 // batch is a row of the table of batches that this instance has sent.
 type batch struct {
@@ -123,7 +128,8 @@
 }
 
 // chooseForwarder returns the instance in a data centre with the fewest batches from here,
-// or nil. An instance that refused to gather the request, or failed to, is not asked.
+// or nil, with a preference for instances with the same configuration. An instance that refused
+// to gather the request, or failed to, is not asked.
 func (g *Gateway) chooseForwarder(r *request, place model.PlaceID) *member {
 	var best *member
 	var bestCost float64
@@ -132,13 +138,23 @@
 		if !g.mayForward(m, place) || m.noForwardUntil > g.now || m.avoidUntil > g.now || slices.Contains(r.gatherersAsked, name) {
 			continue
 		}
-		if cost := float64(m.forwarding) + g.rng.Float64(); best == nil || cost < bestCost {
+		cost := float64(m.forwarding) + g.rng.Float64()
+		if g.hasOtherConfiguration(m) {
+			cost += behindGathererCost
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost = m, cost
 		}
 	}
 	return best
 }
 
+// hasOtherConfiguration reports whether the last news of a member shows another configuration
+// than the one in force here.
+func (g *Gateway) hasOtherConfiguration(m *member) bool {
+	return m.Configuration != g.configurationVersion()
+}
+
 // mayForward reports whether a member can forward batches in a data centre, unless it
 // failed lately.
 func (g *Gateway) mayForward(m *member, place model.PlaceID) bool {
@@ -185,16 +201,23 @@
 	b.forwarder.repliedAt = g.now
 	r := b.request
 	ended := make([]*attempt, len(in.Ends))
-	refused := 0
+	refused, direct := 0, directAfterRefusal
+	if in.Configuration > 0 {
+		b.forwarder.Configuration = in.Configuration
+		if g.hasOtherConfiguration(b.forwarder) {
+			direct = behindRetryDelay
+		}
+	}
 	for i, end := range in.Ends {
 		ended[i], b.attempts[end.Index] = b.attempts[end.Index], nil
 		if end.Refused {
 			refused++
-			ended[i].target.directUntil = g.now + directAfterRefusal
+			ended[i].target.directUntil = g.now + direct
 		}
 	}
 	if refused > 0 && !r.ended {
-		g.recordStep(r, "refused", string(b.forwarder.Name), "%d of %d parts, which are sent directly", refused, len(b.attempts))
+		g.recordStep(r, "refused", string(b.forwarder.Name), "%d of %d parts, which are sent directly; configuration %d there, %d here",
+			refused, len(b.attempts), b.forwarder.Configuration, g.configurationVersion())
 	}
 	if in.Stopping {
 		g.avoidForwarder(b.forwarder, "the instance stops")
@@ -361,6 +384,10 @@
 		forward: &forwarding{open: len(in.Targets), delay: in.ReportDelay}}
 	r.objective, r.openParts = r.deadline, len(r.parts)
 	g.requests[r.id] = r
+	var shards map[ServiceID]bool
+	if g.routes != nil {
+		shards = g.routes.shards[in.Route]
+	}
 	for i, id := range in.Targets {
 		t := g.targets[id]
 		if t != nil {
@@ -368,7 +395,7 @@
 			r.route.Shards = append(r.route.Shards, t.Service)
 		}
 		switch {
-		case g.stop.begun || t == nil || !g.isEligible(t) || len(t.inFlight) >= g.connectionLimit(r.parts[i].service):
+		case g.stop.begun || t == nil || !shards[t.Service] || !g.isEligible(t) || len(t.inFlight) >= g.connectionLimit(r.parts[i].service):
 			g.forwardedEnded(r, BatchEnd{Index: i, Refused: true})
 		case t.downUntil > g.now:
 			g.forwardedEnded(r, BatchEnd{Index: i, End: AttemptEnded{Outcome: OutcomeNotSent, Cause: "the forwarder holds the target for down"}})
@@ -405,7 +432,8 @@
 	if len(f.ends) == 0 || r.ended {
 		return
 	}
-	g.emit(ReplyBatch{Request: r.id, Ends: f.ends, Records: greatestRecords(f.records, r.route.TopK), Stopping: g.stop.begun, Done: f.open == 0})
+	g.emit(ReplyBatch{Request: r.id, Ends: f.ends, Records: greatestRecords(f.records, r.route.TopK), Configuration: g.configurationVersion(),
+		Stopping: g.stop.begun, Done: f.open == 0})
 	f.ends, f.records = nil, nil
 	r.ended = f.open == 0
 }
--- a/core/gateway/batch_test.go
+++ b/core/gateway/batch_test.go
@@ -499,3 +499,115 @@
 		}
 	}
 }
+
+// reshardedRoute returns a gathering route over shards of a set, and the target of each of them
+// in the gateway's data centre.
+func reshardedRoute(shards ...int) (Route, []Target) {
+	r := gatherRoute(0, 1)
+	var targets []Target
+	for _, i := range shards {
+		r.Shards = append(r.Shards, shard(i))
+		targets = append(targets, readyTargets(shard(i), 1)...)
+	}
+	return r, targets
+}
+
+// Guards against an instance that has sent requests by a later configuration and goes back to
+// an earlier one, and one that sends by a later configuration than its own, because it forwards
+// attempts for an instance with another configuration.
+func TestForwarderKeepsToItsConfiguration(t *testing.T) {
+	earlier, earlierTargets := reshardedRoute(0, 1, 2, 3)
+	later, laterTargets := reshardedRoute(2, 3, 4, 5)
+	all := slices.Concat(earlierTargets, laterTargets[2:])
+	dropped := later
+	dropped.Name = "another"
+	for name, c := range map[string]struct {
+		routes []Route // of versions 7, 8 and so on at the forwarder
+		batch  []Target
+		want   []model.TargetID
+	}{
+		"the same configuration":          {[]Route{earlier}, earlierTargets, []model.TargetID{"shard00-0", "shard01-0", "shard02-0", "shard03-0"}},
+		"the sender has an earlier one":   {[]Route{earlier, later}, earlierTargets, []model.TargetID{"shard02-0", "shard03-0"}},
+		"the sender has a later one":      {[]Route{earlier}, laterTargets, []model.TargetID{"shard02-0", "shard03-0"}},
+		"the sender has a dropped route":  {[]Route{earlier, dropped}, earlierTargets, nil},
+		"the forwarder has no route yet":  {nil, earlierTargets, nil},
+		"the sender is two versions back": {[]Route{earlier, later, dropped}, earlierTargets, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			for i, r := range c.routes {
+				h.publish(uint64(7+i), all, r)
+			}
+			if c.routes == nil {
+				h.step(StoreRead{Revision: 1, Complete: true, Targets: all})
+			}
+			in := BatchArrived{Request: 1, Route: earlier.Name, TopK: 3, At: h.now, Deadline: time.Second, Remaining: time.Second}
+			for _, target := range c.batch {
+				in.Targets = append(in.Targets, target.ID)
+			}
+			h.step(in)
+			if got := h.sentTo(1); !slices.Equal(got, c.want) {
+				t.Errorf("got attempts at %v, want %v", got, c.want)
+			}
+			h.run(100 * ms)
+			ends := 0
+			for _, reply := range h.replies {
+				for _, end := range reply.Ends {
+					ends++
+					if sent := slices.Contains(c.want, in.Targets[end.Index]); end.Refused == sent {
+						t.Errorf("the attempt at %s is refused: %v, want %v", in.Targets[end.Index], end.Refused, !sent)
+					}
+				}
+				if want := uint64(max(0, 6+len(c.routes))); len(c.routes) > 0 && reply.Configuration != want {
+					t.Errorf("the reply names configuration %d, want %d", reply.Configuration, want)
+				}
+			}
+			if ends != len(in.Targets) {
+				t.Errorf("got %d ends, want %d", ends, len(in.Targets))
+			}
+		})
+	}
+}
+
+// Guards against connections from all senders to all targets of a new set of shards: a forwarder
+// that has another configuration for a moment is asked again soon.
+func TestForwarderWithAnotherConfigurationIsAskedAgainSoon(t *testing.T) {
+	h := newHarnessWithForwarder(t, 4, 1)
+	h.delegatedRequest()
+	b := h.batches[0]
+	reply := BatchReplied{Batch: b.Batch, Configuration: 9}
+	for i := range 4 {
+		reply.Ends = append(reply.Ends, BatchEnd{Index: i, Refused: true})
+	}
+	h.step(reply, BatchEnded{Batch: b.Batch, Outcome: OutcomeSuccess})
+	if len(h.sent) != 4 {
+		t.Errorf("got %d direct attempts after the refusal, want 4", len(h.sent))
+	}
+	h.run(behindRetryDelay / 2)
+	h.delegatedRequest()
+	if len(h.batches) != 1 {
+		t.Error("the forwarder is asked again at once")
+	}
+	h.run(behindRetryDelay/2 + 10*ms)
+	h.delegatedRequest()
+	if len(h.batches) != 2 || len(h.batches[1].Targets) != 4 {
+		t.Errorf("got %d batches, want a second one of 4 attempts after %v", len(h.batches), behindRetryDelay)
+	}
+}
+
+// Guards against batches to a forwarder that is known to have another configuration, while one
+// with the same configuration has as few.
+func TestForwarderWithTheSameConfigurationIsPreferred(t *testing.T) {
+	h := newHarnessWithForwarder(t, 4, 1)
+	behind := otherMember(3)
+	behind.Place, behind.Configuration = "lekki", 0
+	h.receiveState(behind)
+	for range behindGathererCost {
+		h.delegatedRequest()
+	}
+	for _, b := range h.batches {
+		if b.To == behind.Address {
+			t.Error("got a batch to the member with another configuration, want all to the other one")
+		}
+	}
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -191,12 +191,9 @@
 
 // adopt puts a configuration in force if its version is higher than the present one.
 func (g *Gateway) adopt(c *Configuration) {
-	previous := uint64(0)
-	if g.config != nil {
-		if c.Version <= g.config.Version {
-			return
-		}
-		previous = g.config.Version
+	previous := g.configurationVersion()
+	if g.config != nil && c.Version <= previous {
+		return
 	}
 	g.config, g.routes = c, newRoutes(c)
 	g.gather.places = nil
@@ -211,6 +208,14 @@
 	g.emit(Event{Name: "ConfigurationAdopted", Subject: string(g.cfg.Self), Before: formatUint(previous), After: formatUint(c.Version)})
 }
 
+// configurationVersion returns the version of the configuration in force, 0 if there is none.
+func (g *Gateway) configurationVersion() uint64 {
+	if g.config == nil {
+		return 0
+	}
+	return g.config.Version
+}
+
 // typicalServiceTime returns the median time that targets take for an attempt of
 // the route, without the network round trip.
 func (g *Gateway) typicalServiceTime(r *Route) time.Duration {
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -195,6 +195,8 @@
 	Ends  []BatchEnd
 	// Records are the greatest records of the successful attempts in Ends.
 	Records []byte
+	// Configuration is the version in force at the forwarder, 0 if unknown.
+	Configuration uint64
 	// Stopping means that the forwarder is about to stop.
 	Stopping bool
 }
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -149,9 +149,7 @@
 	if g.store.answeredAt > 0 {
 		s.StoreAge = g.now - g.store.answeredAt
 	}
-	if g.config != nil {
-		s.Configuration = g.config.Version
-	}
+	s.Configuration = g.configurationVersion()
 	return s
 }
 
--- a/core/gateway/output.go
+++ b/core/gateway/output.go
@@ -55,11 +55,13 @@
 // ReplyBatch reports ends of attempts to the instance that sent the batch. Done is set in
 // the last one.
 type ReplyBatch struct {
-	Request  RequestID
-	Ends     []BatchEnd
-	Records  []byte
-	Stopping bool // whether this instance is about to stop
-	Done     bool
+	Request RequestID
+	Ends    []BatchEnd
+	Records []byte
+	// Configuration is the version in force at this instance, 0 if there is none.
+	Configuration uint64
+	Stopping      bool // whether this instance is about to stop
+	Done          bool
 }
 
 // FollowStore selects the source of the store's changes: the store itself or
--- a/core/gateway/routes.go
+++ b/core/gateway/routes.go
@@ -9,14 +9,22 @@
 type routes struct {
 	// byHost holds the routes of each host in lower case, longest prefix first.
 	byHost map[string][]*Route
+	// shards holds the shards of each gathering route, by its name.
+	shards map[string]map[ServiceID]bool
 }
 
 func newRoutes(c *Configuration) *routes {
-	t := &routes{byHost: make(map[string][]*Route)}
+	t := &routes{byHost: make(map[string][]*Route), shards: make(map[string]map[ServiceID]bool)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		if len(r.Shards) > 0 {
+			t.shards[r.Name] = make(map[ServiceID]bool, len(r.Shards))
+		}
+		for _, id := range r.Shards {
+			t.shards[r.Name][id] = true
+		}
 	}
 	for _, hostRoutes := range t.byHost {
 		sort.SliceStable(hostRoutes, func(i, j int) bool { return len(hostRoutes[i].Prefix) > len(hostRoutes[j].Prefix) })
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -134,7 +134,7 @@
 }
 
 func encodeForwardReply(out gateway.ReplyBatch) *gatewaypb.ForwardReply {
-	reply := &gatewaypb.ForwardReply{Records: out.Records, Stopping: out.Stopping}
+	reply := &gatewaypb.ForwardReply{Records: out.Records, Configuration: out.Configuration, Stopping: out.Stopping}
 	for _, end := range out.Ends {
 		e := &gatewaypb.ForwardedEnd{Index: uint32(end.Index), Refused: end.Refused}
 		if !end.Refused {
@@ -158,7 +158,7 @@
 }
 
 func decodeForwardReply(batch gateway.AttemptID, in *gatewaypb.ForwardReply) gateway.BatchReplied {
-	out := gateway.BatchReplied{Batch: batch, Records: in.GetRecords(), Stopping: in.GetStopping()}
+	out := gateway.BatchReplied{Batch: batch, Records: in.GetRecords(), Configuration: in.GetConfiguration(), Stopping: in.GetStopping()}
 	for _, e := range in.GetEnds() {
 		end := gateway.BatchEnd{Index: int(e.GetIndex()), Refused: e.GetRefused()}
 		end.End = gateway.AttemptEnded{Outcome: gateway.Outcome(min(e.GetOutcome(), maxOutcomeByte)), Status: int(e.GetStatus()),
