core/gateway: a stop sends nothing that it would probably cut

Cause: attempts were sent until the end of the stop, without a comparison of what was left of it with the time that the service takes.

Change: while an instance stops, a request that would outlive the stop is sent, leaves its queue or is retried only if the service is likely to answer before the end, by its last 32 answers: the median for requests that may be repeated, for others the longest or the age of the longest in progress. Without an answer yet it is the latency objective. Otherwise the request is refused at once with 503, as it has not run.

What remains is in the postmortem: a service that is slower than its objective and has not answered since the start of the instance.

--- a/core/gateway/latency.go
+++ b/core/gateway/latency.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -47,6 +48,27 @@
 	return time.Duration(histogramMinBound * math.Exp2(histogramBuckets/4))
 }
 
+// recentTimes are the times that the last answers of a service took.
+type recentTimes struct {
+	times [32]time.Duration
+	count int // of all answers
+}
+
+func (t *recentTimes) add(d time.Duration) {
+	t.times[t.count%len(t.times)] = d
+	t.count++
+}
+
+// quantile returns the quantile q of the last answers, 0 if there is none.
+func (t *recentTimes) quantile(q float64) time.Duration {
+	n := min(t.count, len(t.times))
+	if n == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(t.times[:n]))
+	return sorted[int(q*float64(n-1))]
+}
+
 // decay returns the remaining weight of an observation of the given age.
 func decay(age, timeConstant time.Duration) float64 {
 	if age <= 0 {
--- a/core/gateway/lifecycle.go
+++ b/core/gateway/lifecycle.go
@@ -14,6 +14,8 @@
 	closed    bool // new connections are no longer accepted
 	completed bool
 	timedOut  bool // the stop time is almost up
+	// endsAt is when requests in progress fail, valid once begun is set.
+	endsAt time.Duration
 }
 
 // beginStop starts the graceful stop: the instance is no longer ready, and requests in
@@ -22,10 +24,39 @@
 	if g.stop.begun {
 		return
 	}
-	g.stop = stopState{begun: true}
+	g.stop = stopState{begun: true, endsAt: g.now + max(0, g.cfg.StopTime-drainReserve)}
 	g.emit(Event{Name: "StopBegun", Subject: string(g.cfg.Self), Before: "serving", After: strconv.Itoa(len(g.requests)) + " requests in progress"})
 	g.after(min(drainReadyDelay, g.cfg.StopTime/2), g.closeListener)
-	g.after(max(0, g.cfg.StopTime-drainReserve), g.stopTimedOut)
+	g.after(g.stop.endsAt-g.now, g.stopTimedOut)
+}
+
+// stopWouldCut reports whether an attempt at a service that is sent now would probably still be
+// in progress when the stop ends. The caller of a request that is not sent can try another
+// instance, whereas a request that is cut may have run.
+func (g *Gateway) stopWouldCut(r *request, s *service) bool {
+	return g.stop.begun && r.deadline > g.stop.endsAt && g.now+g.likelyServiceTime(r, s) > g.stop.endsAt
+}
+
+// stopCutsReason is the reason why a request is not sent if stopWouldCut.
+const stopCutsReason = "the instance stops before an answer is likely"
+
+// likelyServiceTime returns the time in which a service is likely to answer an attempt. For a
+// request that must not be repeated it is the longest of the last ones, answered or in progress,
+// or the latency objective of the route while none was answered.
+func (g *Gateway) likelyServiceTime(r *request, s *service) time.Duration {
+	if r.route.Idempotent {
+		return s.recent.quantile(0.5)
+	}
+	longest := s.recent.quantile(1)
+	for _, t := range s.targets {
+		if len(t.inFlight) > 0 {
+			longest = max(longest, g.now-t.inFlight[0].sentAt)
+		}
+	}
+	if s.recent.count == 0 {
+		longest = max(longest, r.route.LatencyObjective)
+	}
+	return longest
 }
 
 func (g *Gateway) closeListener() {
--- a/core/gateway/lifecycle_test.go
+++ b/core/gateway/lifecycle_test.go
@@ -79,6 +79,104 @@
 	}
 }
 
+// bookingsInAStop stops an instance whose targets answer after targetTime, and returns how the
+// requests ended that arrived every 50 ms during the stop time, by the time of their arrival.
+// Before the stop, targets answer after timeBefore; if it is 0, there are no requests then.
+func bookingsInAStop(t *testing.T, timeBefore, targetTime time.Duration) map[time.Duration]Answer {
+	h := newHarness(t)
+	route := plainRoute(false)
+	route.Timeout = 0
+	h.publish(1, readyTargets("s", 4), route)
+	answerAfter := func(d time.Duration) {
+		for _, target := range readyTargets("s", 4) {
+			h.targets[target.ID] = func(SendAttempt) (time.Duration, AttemptEnded) {
+				return d, AttemptEnded{Outcome: OutcomeSuccess, Status: 200} // on new connections
+			}
+		}
+	}
+	if timeBefore > 0 {
+		answerAfter(timeBefore)
+		for range 10 {
+			h.request("/p/x", 20*time.Second)
+			h.run(timeBefore)
+		}
+	}
+	answerAfter(targetTime)
+	start := h.now
+	h.step(Stop{})
+	arrivals := make(map[RequestID]time.Duration)
+	for ; h.now-start < h.g.cfg.StopTime; h.run(50 * ms) {
+		arrivals[h.request("/p/x", 20*time.Second)] = h.now - start
+	}
+	answers := make(map[time.Duration]Answer)
+	for id, at := range arrivals {
+		answers[at] = h.answers[id]
+		if a := h.answers[id]; a.Kind == AnswerRefused && (len(h.sentTo(id)) > 0 || h.answeredAt[id]-start != at || !a.Closing) {
+			t.Errorf("the request of %v was refused after %v with %d attempts, want at once and without", at, h.answeredAt[id]-start-at, len(h.sentTo(id)))
+		}
+	}
+	return answers
+}
+
+// Guards against requests that must not be repeated and run although the stop cuts them off: an
+// instance that stops sends a request only if the service usually answers before its end.
+func TestStopRefusesBookingsThatItWouldCut(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, during time.Duration
+		served         time.Duration // requests up to this time of the stop are served
+		// cutFrom and cutUntil are the times of requests that are cut, as nothing showed how long
+		// the service takes.
+		cutFrom, cutUntil time.Duration
+	}{
+		"service of 2.5 s":                   {before: 2500 * ms, during: 2500 * ms, served: 2750 * ms},
+		"service of 20 ms":                   {before: 20 * ms, during: 20 * ms, served: 5200 * ms},
+		"service of 4 s":                     {before: 4 * time.Second, during: 4 * time.Second, served: 1250 * ms},
+		"service that has become slower":     {before: 20 * ms, during: 2500 * ms, served: 2500 * ms},
+		"service of 3 s that was 4 s before": {before: 4 * time.Second, during: 3 * time.Second, served: 1250 * ms},
+		"service without requests before":    {during: 2500 * ms, served: 2500 * ms},
+		"slow service, no requests before":   {during: 4 * time.Second, served: 1250 * ms, cutFrom: 1300 * ms, cutUntil: 2650 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			refused := 0
+			for at, a := range bookingsInAStop(t, c.before, c.during) {
+				switch {
+				case a.Kind == AnswerRefused && at > c.served:
+					refused++
+				case a.Kind == AnswerFailed && c.cutUntil > 0 && at >= c.cutFrom && at <= c.cutUntil:
+				case a.Kind != AnswerTarget:
+					t.Errorf("the request of %v was answered %v (%s), want served, or refused after %v", at, a.Kind, a.Reason, c.served)
+				}
+			}
+			if refused == 0 {
+				t.Error("no request was refused, so the test shows nothing")
+			}
+		})
+	}
+}
+
+// Guards against a request that waits for a free connection during a stop and is sent when the
+// service can no longer answer it.
+func TestStopRefusesQueuedBookingsThatItWouldCut(t *testing.T) {
+	h := newHarness(t)
+	route := plainRoute(false)
+	route.Timeout, route.LatencyObjective = 0, 10*time.Second // waits for up to 2.5 s
+	h.publish(1, readyTargets("s", 1), route)
+	h.g.service("s").limits.MaxConnections = 6 // one for this instance
+	h.targets["s-0"] = answersAfter(2 * time.Second)
+	h.request("/p/x", 20*time.Second)
+	h.run(2 * time.Second)
+	h.step(Stop{})
+	h.run(1500 * ms)
+	first, queued := h.request("/p/x", 20*time.Second), h.request("/p/x", 20*time.Second)
+	h.run(5 * time.Second)
+	if a := h.answers[first]; a.Kind != AnswerTarget {
+		t.Errorf("the request that was sent at 1.5 s was answered %v, want served", a.Kind)
+	}
+	if a := h.answers[queued]; a.Kind != AnswerRefused || len(h.sentTo(queued)) > 0 {
+		t.Errorf("the request that waited until 3.5 s was answered %v after %d attempts, want refused without one", a.Kind, len(h.sentTo(queued)))
+	}
+}
+
 // Guards against reloaded settings that apply only after a restart.
 func TestChangedLimitsApplyAtOnce(t *testing.T) {
 	h := newHarness(t)
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -59,6 +59,11 @@
 			s.waiting = s.waiting[1:]
 			continue
 		}
+		if g.stopWouldCut(w.request, s) {
+			s.waiting = s.waiting[1:]
+			g.failPart(w.request, w.part, stopCutsReason)
+			continue
+		}
 		t, usable := g.chooseTarget(w.request, p)
 		if t == nil && usable {
 			return
@@ -89,9 +94,11 @@
 	if r.deadline-g.now < minAttemptTime {
 		return "the caller's deadline leaves no time"
 	}
-	up, limited := 0, 0
+	up, limited, cut := 0, 0, 0
 	for i := range r.parts {
 		switch s := r.parts[i].service; {
+		case g.stopWouldCut(r, s):
+			cut++
 		case g.hasUsableTarget(s):
 			up++
 		case g.hasLimitedTarget(s):
@@ -101,6 +108,9 @@
 	if up >= r.requiredParts() {
 		return ""
 	}
+	if up+cut >= r.requiredParts() {
+		return stopCutsReason
+	}
 	reason := "targets are up for " + strconv.Itoa(up) + " of " + strconv.Itoa(len(r.parts)) + " services"
 	if limited > 0 {
 		reason += ", and at their rate limit for " + strconv.Itoa(limited)
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -378,6 +378,8 @@
 		g.failPart(r, i, "all attempts failed: "+r.cause)
 	case r.deadline-g.now < minAttemptTime:
 		g.failPart(r, i, "no time is left for another attempt: "+r.cause)
+	case g.stopWouldCut(r, p.service):
+		g.failPart(r, i, stopCutsReason+": "+r.cause)
 	default:
 		t, usable := g.chooseTarget(r, p)
 		switch {
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -16,6 +16,8 @@
 	shard   bool
 	targets []*target // in the order in which they were listed
 	budget  retryBudget
+	// recent are the times of the last attempts that targets answered.
+	recent recentTimes
 	// waiting is the queue of parts that wait for a target with a free connection.
 	waiting []waitingPart
 }
@@ -329,6 +331,9 @@
 		t.coldUntil = g.now + in.ColdFor
 	}
 	g.observeRateLimit(a, in)
+	if in.Outcome == OutcomeSuccess || in.Outcome == OutcomeFailure {
+		g.service(t.Service).recent.add(g.now - a.sentAt)
+	}
 	switch in.Outcome {
 	case OutcomeSuccess:
 		g.observeLatency(a, in)
--- a/node/gateway/stop_test.go
+++ b/node/gateway/stop_test.go
@@ -25,6 +25,14 @@
 // startOneServer starts a store with a plain route at /p/ and one server that answers after
 // the delay, and returns the URL of the store.
 func startOneServer(t *testing.T, delay time.Duration) string {
+	t.Helper()
+	storeURL, _ := startOneServerOfType(t, "safe", 4*time.Second, delay)
+	return storeURL
+}
+
+// startOneServerOfType is startOneServer with a type and a latency objective of the route. It
+// returns the server too.
+func startOneServerOfType(t *testing.T, routeType string, objective, delay time.Duration) (string, *platformtest.Server) {
 	t.Helper()
 	store := platformtest.NewStore(500)
 	storeServer := httptest.NewServer(store)
@@ -33,10 +41,10 @@
 	h := httptest.NewServer(s)
 	t.Cleanup(h.Close)
 	store.Put("servers/"+s.ID, s.Entry(strings.TrimPrefix(h.URL, "http://"), "ready", 1))
-	store.Put("op/config", `{"version":1,"routes":[{"name":"p","hostname":"h","prefix":"/p/","route_type":"safe",
-"timeout_ms":5000,"target_latency_ms":4000,"priority":1,"service":"s","max_attempts":2}],
-"services":[{"name":"s","max_connections":400}],"limits":{}}`)
-	return storeServer.URL
+	store.Put("op/config", fmt.Sprintf(`{"version":1,"routes":[{"name":"p","hostname":"h","prefix":"/p/","route_type":%q,
+"timeout_ms":5000,"target_latency_ms":%d,"priority":1,"service":"s","max_attempts":2}],
+"services":[{"name":"s","max_connections":400}],"limits":{}}`, routeType, objective.Milliseconds()))
+	return storeServer.URL, s
 }
 
 // stopGracefully stops an instance as its process does after a SIGTERM, and returns when
@@ -167,6 +175,53 @@
 	}
 }
 
+// Guards against bookings whose last bytes arrive late in a planned stop, and which are passed
+// on although the stop cuts them off: each is answered, or refused or closed without having run.
+func TestPlannedStopCutsNoBookingThatItPassedOn(t *testing.T) {
+	const bookings, serverTime = 48, 1200 * time.Millisecond
+	storeURL, server := startOneServerOfType(t, "unsafe", serverTime, serverTime)
+	d, s := startDaemon(t, "front-0", "ikeja", storeURL, func(s *settings.Gateway) { s.StopTimeout = settings.Duration(stopTimeout) })
+	waitReady(t, s)
+	begin := make(chan struct{})
+	var served, refused, closed atomic.Int64
+	var callers sync.WaitGroup
+	for i := range bookings {
+		id := fmt.Sprintf("b%d", i)
+		c, err := net.Dial("tcp", s.CallerListen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fmt.Fprintf(c, "POST /p/x HTTP/1.1\r\nHost: h\r\nGalenadyke-Attempt-Id: %s\r\nGalenadyke-Deadline-Ms: 15000\r\nContent-Length: 100\r\n\r\n%50d", id, 0); err != nil {
+			t.Fatal(err)
+		}
+		callers.Go(func() {
+			defer c.Close()
+			<-begin
+			time.Sleep(time.Duration(i) * stopTimeout / bookings)
+			_, writeErr := fmt.Fprintf(c, "%50d", 0)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			switch ran := server.Executions(id); {
+			case writeErr == nil && err == nil && resp.StatusCode == http.StatusOK:
+				served.Add(1)
+			case writeErr == nil && err == nil && resp.StatusCode == http.StatusServiceUnavailable && ran == 0:
+				refused.Add(1)
+			case err != nil && ran == 0:
+				closed.Add(1)
+			default:
+				t.Errorf("booking %d: got answer %v, error %v, and it ran %d times; want it served, or not run", i, resp, err, ran)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	close(begin)
+	stopGracefully(d)
+	callers.Wait()
+	if served.Load() == 0 || refused.Load() == 0 {
+		t.Errorf("%d bookings were served, %d refused, %d closed unread; want some served and some refused", served.Load(), refused.Load(), closed.Load())
+	}
+	t.Logf("%d bookings were served, %d refused, %d closed unread", served.Load(), refused.Load(), closed.Load())
+}
+
 // Guards against a stop that takes longer than a reloaded stop timeout, so that the platform
 // ends the process.
 func TestReloadedStopTimeoutBoundsTheStop(t *testing.T) {
