testbed/target: a crash stops the listener before it resets connections

Cause: the stand-in reset the connections, which the test waits for, before it stopped its listener. Unlike a process that ends, it accepted a connect in between.

Change: the listener is stopped first. The test is as it was.

--- a/testbed/target/connections.go
+++ b/testbed/target/connections.go
@@ -84,7 +84,7 @@
 }
 
 // stop closes the listening socket, so that connects are refused, and opens it again after
-// the downtime. The caller has reset the connections.
+// the downtime. The caller resets the connections afterwards.
 func (l *listener) stop(downtime time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/testbed/target/target.go
+++ b/testbed/target/target.go
@@ -216,8 +216,9 @@
 	}
 	t.counts.Crashes++
 	downtime := t.cfg.Cold.RestartTime.D()
-	t.restart(downtime, true)
+	// Stopped first: whoever sees its connection reset finds that connects are refused.
 	t.ln.stop(downtime)
+	t.restart(downtime, true)
 }
 
 // awaitUnfrozen waits while the target is frozen. It returns false if ctx ends
