core/gateway: no new work for a server that states that it leaves

Change: the header is read on every status but 421, which is another server's. The target gets no new work from this instance: first attempts, hedges, retries, queued requests, and batches that it forwards. A forwarder reports the statement to the sender of a batch. It holds until the server starts again with a later born, also after its entry was removed, and departures that are sent to starting instances carry it.

--- a/core/gateway/departures.go
+++ b/core/gateway/departures.go
@@ -23,6 +23,8 @@
 	StartedAtMillis int64
 	Report          int64
 	Age             time.Duration // time since the target left
+	// Leaving means that an answer of the target had stated that it was about to end.
+	Leaving bool
 }
 
 // departure is a row of the table of departures.
@@ -31,6 +33,9 @@
 	// from another instance.
 	Target
 	at time.Duration // when the target left
+	// leaving means that an answer had stated that the target was about to end, so that no
+	// report of the same start is later.
+	leaving bool
 	// ignored is the entry of the target that the store has nevertheless, since ignoredAt;
 	// nil if it has none.
 	ignored   *Target
@@ -45,7 +50,7 @@
 		}
 		return
 	}
-	if d := g.departures[in.ID]; d != nil && in.CompareReports(d.Target) <= 0 {
+	if d := g.departures[in.ID]; d != nil && !d.isBefore(in) {
 		g.ignoreEntry(d, in)
 		return
 	}
@@ -55,10 +60,18 @@
 
 // targetLeft removes a target whose entry was removed.
 func (g *Gateway) targetLeft(t *target) {
-	g.departures[t.ID] = &departure{Target: t.Target, at: g.now}
+	g.departures[t.ID] = &departure{Target: t.Target, at: g.now, leaving: t.leaving}
 	g.removeTarget(t)
 }
 
+// isBefore reports whether an entry shows that the target has registered again.
+func (d *departure) isBefore(entry Target) bool {
+	if d.leaving {
+		return entry.StartedAtMillis > d.StartedAtMillis
+	}
+	return entry.CompareReports(d.Target) > 0
+}
+
 // ignoreEntry notes that the store lists a target that has left. If the target is alive after
 // all, it renews the entry, which may show no change but keeps it in the store.
 func (g *Gateway) ignoreEntry(d *departure, entry Target) {
@@ -74,7 +87,7 @@
 // an entry that is not renewed. Time in which entries may not have lapsed does not count.
 func (g *Gateway) useIgnoredEntry(d *departure) {
 	switch {
-	case g.departures[d.ID] != d || d.ignored == nil || g.now < d.ignoredAt+unrenewedEntryTime:
+	case g.departures[d.ID] != d || d.ignored == nil || d.leaving || g.now < d.ignoredAt+unrenewedEntryTime:
 	case g.store.lost || g.store.returnedWithin(g.now, unrenewedEntryTime):
 		g.after(unrenewedEntryTime, func() { g.useIgnoredEntry(d) })
 	default:
@@ -88,7 +101,7 @@
 // store.
 func (g *Gateway) forgetDepartures() {
 	for id, d := range g.departures {
-		if g.now-d.at > departureMemory && d.ignored == nil {
+		if g.now-d.at > departureMemory && (d.ignored == nil || d.leaving) {
 			delete(g.departures, id)
 		}
 	}
@@ -117,7 +130,8 @@
 			d := known[0]
 			known = known[1:]
 			bytes += len(d.ID) + departureBytes
-			message.Departures = append(message.Departures, Departure{Target: d.ID, StartedAtMillis: d.StartedAtMillis, Report: d.Report, Age: g.now - d.at})
+			message.Departures = append(message.Departures, Departure{Target: d.ID, StartedAtMillis: d.StartedAtMillis, Report: d.Report,
+				Age: g.now - d.at, Leaving: d.leaving})
 		}
 		g.emit(SendState{To: to, State: message})
 	}
@@ -131,18 +145,20 @@
 			continue
 		}
 		last := Target{ID: n.Target, StartedAtMillis: n.StartedAtMillis, Report: n.Report}
+		learned := &departure{Target: last, at: g.now - n.Age, leaving: n.Leaving}
 		t, d := g.targets[n.Target], g.departures[n.Target]
 		switch {
-		case d != nil && last.CompareReports(d.Target) <= 0, t != nil && t.CompareReports(last) > 0:
-		case d != nil:
-			d.Target, d.at = last, max(d.at, g.now-n.Age)
-		default:
-			d = &departure{Target: last, at: g.now - n.Age}
-			g.departures[d.ID] = d
+		case t != nil && learned.isBefore(t.Target):
+		case d == nil:
+			g.departures[learned.ID] = learned
 			if t != nil {
 				g.removeTarget(t)
-				g.ignoreEntry(d, t.Target)
+				g.ignoreEntry(learned, t.Target)
 			}
+		case last.CompareReports(d.Target) > 0:
+			d.Target, d.at, d.leaving = last, max(d.at, learned.at), n.Leaving
+		case last.StartedAtMillis == d.StartedAtMillis:
+			d.leaving = d.leaving || n.Leaving
 		}
 	}
 }
--- a/core/gateway/departures_test.go
+++ b/core/gateway/departures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -194,3 +195,132 @@
 		t.Errorf("got %d departures, want %d", len(sent), maxSentDepartures)
 	}
 }
+
+// leavesAfter returns a target that answers with success after d and states that it leaves.
+func leavesAfter(d time.Duration) targetBehaviour {
+	return func(s SendAttempt) (time.Duration, AttemptEnded) {
+		after, end := answersAfter(d)(s)
+		end.Leaving = true
+		return after, end
+	}
+}
+
+// Guards against requests to a target that has stated in an answer that it leaves: while its
+// entry is still ready, when a report that was on its way arrives, and after the entry's removal.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	for name, outcome := range map[string]Outcome{"success": OutcomeSuccess, "failure": OutcomeFailure, "shed": OutcomeShed, "rejected": OutcomeRejected} {
+		t.Run(name, func(t *testing.T) {
+			h, targets := newHarnessBeforeRestore(t)
+			h.targets["s-0"] = func(SendAttempt) (time.Duration, AttemptEnded) {
+				return 10 * ms, AttemptEnded{Outcome: outcome, Status: 200, Reused: true, Leaving: true}
+			}
+			if used := h.usedTargets(); !used["s-0"] {
+				t.Fatal("the target got no request, so the test shows nothing")
+			}
+			check := func(when string, want bool) {
+				t.Helper()
+				if used := h.usedTargets(); used["s-0"] != want || !used["s-1"] {
+					t.Errorf("%s: got requests to %v, want some to s-1, and to s-0: %v", when, used, want)
+				}
+			}
+			check("after the answer", false)
+			h.step(StoreRead{Era: 1, Revision: 51, Targets: []Target{withReport(targets[0], 25, TargetReady)}})
+			check("after a later report", false)
+			h.step(StoreRead{Era: 1, Revision: 52, Removed: []model.TargetID{"s-0"}})
+			h.step(StoreRead{Era: 1, Revision: 53, Targets: []Target{withReport(targets[0], 30, TargetReady)}})
+			check("after its removal and a later report", false)
+			h.run(2 * unrenewedEntryTime)
+			check("while the entry stays listed", false)
+			again := targets[0]
+			again.StartedAtMillis++
+			h.targets["s-0"] = answersAfter(10 * ms)
+			h.step(StoreRead{Era: 1, Revision: 54, Targets: []Target{again}})
+			check("after a new start", true)
+		})
+	}
+}
+
+// Guards against hedges, retries and queued requests that reach a target after it has stated
+// that it leaves.
+func TestLeavingTargetGetsNoHedgeRetryOrQueuedRequest(t *testing.T) {
+	h := newHarness(t)
+	h.publish(1, readyTargets("s", 2), plainRoute(true))
+	h.targets["s-0"], h.targets["s-1"] = leavesAfter(10*ms), answersAfter(10*ms)
+	for id := model.TargetID(""); id != "s-0"; {
+		sent := len(h.sent)
+		h.request("/p/x", time.Second)
+		h.run(20 * ms)
+		id = h.sent[sent].Target
+	}
+	h.g.service("s").limits.MaxConnections = 6 // one for this instance
+	for name, behaviour := range map[string]targetBehaviour{"hedge": answersAfter(300 * ms), "retry": endsAfter(ms, OutcomeShed), "queue": answersAfter(30 * ms)} {
+		h.targets["s-1"] = behaviour
+		sent := len(h.sent)
+		for range 5 {
+			h.request("/p/x", time.Second)
+		}
+		h.run(2 * time.Second)
+		for _, s := range h.sent[sent:] {
+			if s.Target == "s-0" {
+				t.Errorf("%s: the leaving target got an attempt", name)
+			}
+		}
+	}
+	// When all targets leave, callers are told at once.
+	h.targets["s-1"] = leavesAfter(10 * ms)
+	h.request("/p/x", time.Second)
+	h.run(20 * ms)
+	id := h.request("/p/x", time.Second)
+	if a := h.answers[id]; a.Kind != AnswerRefused || h.answeredAt[id] != h.now {
+		t.Errorf("got answer %v, want a refusal at once as all targets leave", a.Kind)
+	}
+}
+
+// Guards against a leaving target that is used through a forwarder, or by the forwarder.
+func TestLeavingTargetIsKnownThroughAForwarder(t *testing.T) {
+	h := newHarnessWithForwarder(t, 4, 1)
+	h.delegatedRequest()
+	b := h.batches[0]
+	reply := BatchReplied{Batch: b.Batch, Records: record(1)}
+	for i := range 4 {
+		end := succeeded(i, fmt.Sprint("stamp", i))
+		end.End.Leaving = i == 2
+		reply.Ends = append(reply.Ends, end)
+	}
+	h.step(reply, BatchEnded{Batch: b.Batch, Outcome: OutcomeSuccess})
+	leaving := b.Targets[2]
+	sent := len(h.sent)
+	h.delegatedRequest()
+	h.run(time.Second)
+	for _, s := range h.sent[sent:] {
+		if s.Target == leaving {
+			t.Error("the leaving target got a direct attempt")
+		}
+	}
+	for _, later := range h.batches[1:] {
+		if slices.Contains(later.Targets, leaving) {
+			t.Error("the leaving target is in a later batch")
+		}
+	}
+	replies := len(h.replies)
+	h.step(BatchArrived{Request: 900, Route: "gather", TopK: 3, Targets: []model.TargetID{leaving}, At: h.now, Deadline: time.Second, Remaining: time.Second})
+	if len(h.replies) != replies+1 || !h.replies[replies].Ends[0].Refused {
+		t.Error("an attempt at the leaving target was forwarded for another instance, want it refused")
+	}
+}
+
+// Guards against an instance that uses a target which had stated that it leaves, because it
+// started afterwards and finds a later report.
+func TestStartingInstanceLearnsOfLeavingTargets(t *testing.T) {
+	h, targets := newHarnessBeforeRestore(t)
+	h.step(StateReceived{State: StateMessage{Sender: otherMember(0), Departures: []Departure{{Target: "s-0", StartedAtMillis: 1000, Report: 12, Leaving: true}}}})
+	if used := h.usedTargets(); used["s-0"] || !used["s-1"] {
+		t.Errorf("got requests to %v, want none to s-0", used)
+	}
+	again := targets[0]
+	again.StartedAtMillis = 1001
+	h.step(StoreRead{Era: 1, Revision: 51, Targets: []Target{again}})
+	if used := h.usedTargets(); !used["s-0"] {
+		t.Error("the target got no request after a new start")
+	}
+}
--- a/core/gateway/exchange.go
+++ b/core/gateway/exchange.go
@@ -34,10 +34,12 @@
 	Stamp string
 	// NotExecuted is set if the target states that it did not run the request.
 	NotExecuted bool
-	Load        Load
-	HasLoad     bool
-	ColdFor     time.Duration
-	HasCold     bool
+	// Leaving is set if the target states that it is about to end.
+	Leaving bool
+	Load    Load
+	HasLoad bool
+	ColdFor time.Duration
+	HasCold bool
 	// RateLimit is the number of requests a second that the target accepts from all
 	// instances together, valid if HasRateLimit.
 	RateLimit    float64
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -134,6 +134,8 @@
 	// instances together, valid if HasRateLimit.
 	RateLimit    float64
 	HasRateLimit bool
+	// Leaving is set if the target's answer states that it is about to end.
+	Leaving bool
 	// Reused is false if a connection had to be opened. Connect is how long opening
 	// the connection took, 0 if none was opened.
 	Reused  bool
--- a/core/gateway/placement.go
+++ b/core/gateway/placement.go
@@ -45,9 +45,9 @@
 }
 
 // isEligible reports whether a target is listed as ready in a data centre that is not
-// evacuated. A target that is down is eligible too.
+// evacuated, and has not stated that it leaves. A target that is down is eligible too.
 func (g *Gateway) isEligible(t *target) bool {
-	return !t.gone && t.State == TargetReady && !g.evacuated[t.Place]
+	return !t.gone && !t.leaving && t.State == TargetReady && !g.evacuated[t.Place]
 }
 
 // isUp reports whether a target is eligible, and up or due to be tried again.
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -30,6 +30,9 @@
 	coldUntil time.Duration
 	// gone is set when the target was removed, or another target has its address.
 	gone bool
+	// leaving is set once an answer of the target stated that it is about to end. It is never
+	// taken back.
+	leaving bool
 	// lapsedAt is when the entry was removed during or shortly after an outage of
 	// the store; 0 if the entry exists.
 	lapsedAt time.Duration
@@ -268,7 +271,7 @@
 	if t == nil {
 		return
 	}
-	if t.lapsedAt == 0 && t.State == TargetReady && g.storeRecentlyLost() {
+	if t.lapsedAt == 0 && t.State == TargetReady && !t.leaving && g.storeRecentlyLost() {
 		t.lapsedAt = g.now
 		g.removeLapsed(t)
 		return
@@ -298,6 +301,18 @@
 	return g.store.lost || g.store.returnedWithin(g.now, lapseGrace)
 }
 
+// targetLeaving stops sending work to a target that has stated that it is about to end, before
+// its entry shows it. Attempts in flight continue.
+func (g *Gateway) targetLeaving(t *target) {
+	if t.leaving {
+		return
+	}
+	t.leaving = true
+	g.gather.places = nil
+	g.emit(CloseIdleConnections{Target: t.ID, Address: t.Address})
+	g.emit(Event{Name: "TargetLeaving", Subject: string(t.ID), Before: t.State.String(), After: "leaving"})
+}
+
 // removeTarget removes a target. Its attempts in flight continue.
 func (g *Gateway) removeTarget(t *target) {
 	g.gather.places = nil
@@ -331,6 +346,9 @@
 		t.coldUntil = g.now + in.ColdFor
 	}
 	g.observeRateLimit(a, in)
+	if in.Leaving {
+		g.targetLeaving(t)
+	}
 	if in.Outcome == OutcomeSuccess || in.Outcome == OutcomeFailure {
 		g.service(t.Service).recent.add(g.now - a.sentAt)
 	}
--- a/node/gateway/departure_test.go
+++ b/node/gateway/departure_test.go
@@ -37,19 +37,7 @@
 	requests := 0
 	send := func(s settings.Gateway) bool {
 		requests++
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.CallerListen+"/p/x", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.Host = "h"
-		r.Header.Set("Galenadyke-Attempt-Id", fmt.Sprintf("r%d", requests))
-		resp, err := http.DefaultClient.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer resp.Body.Close()
-		_, err = io.Copy(io.Discard, resp.Body)
-		return err == nil && resp.StatusCode == http.StatusOK
+		return sendPlain(t, s, fmt.Sprintf("r%d", requests))
 	}
 	// sendUntil sends requests until the condition holds.
 	sendUntil := func(s settings.Gateway, event string, condition func(served bool) bool) {
@@ -87,3 +75,44 @@
 	reportLeaver(10)
 	sendUntil(second, "a request at the server after a later report", func(bool) bool { return len(leaver.ExecutionTimes("")) > before })
 }
+
+// Guards against requests to a server after one of its answers has stated that it leaves, while
+// its entry is still ready.
+func TestLeavingServerGetsNoNewRequest(t *testing.T) {
+	storeURL, leaver := startOneServerOfType(t, "unsafe", time.Second, 0)
+	_, s := startDaemon(t, "front-0", "ikeja", storeURL, func(*settings.Gateway) {})
+	waitReady(t, s)
+	leaver.SetLeaving(true)
+	for i := 0; !sendPlain(t, s, fmt.Sprintf("first%d", i)); i++ {
+		if i > 1000 {
+			t.Fatal("no request was served")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for i := range 20 {
+		if sendPlain(t, s, fmt.Sprintf("later%d", i)) {
+			t.Error("a request was served by a server that leaves")
+		}
+	}
+	if got := len(leaver.ExecutionTimes("later")); got > 0 {
+		t.Errorf("the server got %d requests after it had stated that it leaves, want none", got)
+	}
+}
+
+// sendPlain sends a request with an ID at /p/ of an instance, and reports whether it was served.
+func sendPlain(t *testing.T, s settings.Gateway, id string) bool {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.CallerListen+"/p/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Galenadyke-Attempt-Id", id)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -140,7 +140,7 @@
 		if !end.Refused {
 			in := end.End
 			e.Outcome, e.Status, e.Stamp, e.Cause = uint32(in.Outcome), uint32(in.Status), in.Part.Stamp, in.Cause
-			e.Reused = in.Reused
+			e.Reused, e.Leaving = in.Reused, in.Leaving
 			if in.HasLoad {
 				e.Load = &gatewaypb.Load{Running: int32(in.Load.Running), Waiting: int32(in.Load.Waiting), Slots: int32(in.Load.Slots)}
 			}
@@ -162,7 +162,7 @@
 	for _, e := range in.GetEnds() {
 		end := gateway.BatchEnd{Index: int(e.GetIndex()), Refused: e.GetRefused()}
 		end.End = gateway.AttemptEnded{Outcome: gateway.Outcome(min(e.GetOutcome(), maxOutcomeByte)), Status: int(e.GetStatus()),
-			Part: gateway.Part{Stamp: e.GetStamp()}, Cause: e.GetCause(), Reused: e.GetReused(),
+			Part: gateway.Part{Stamp: e.GetStamp()}, Cause: e.GetCause(), Reused: e.GetReused(), Leaving: e.GetLeaving(),
 			HasLoad: e.Load != nil, ColdFor: time.Duration(e.GetColdForNs()), HasCold: e.ColdForNs != nil,
 			RateLimit: e.GetRateLimit(), HasRateLimit: e.RateLimit != nil}
 		if load := e.GetLoad(); load != nil {
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -109,7 +109,7 @@
 	out.Crashes = encodeCrashes(in.Crashes)
 	for _, d := range in.Departures {
 		out.Departures = append(out.Departures, &gatewaypb.Departure{Target: string(d.Target), Started: d.StartedAtMillis,
-			Report: d.Report, Age: encodeAge(d.Age)})
+			Report: d.Report, Age: encodeAge(d.Age), Leaving: d.Leaving})
 	}
 	return out
 }
@@ -127,7 +127,7 @@
 	}
 	for _, d := range in.GetDepartures() {
 		out.Departures = append(out.Departures, gateway.Departure{Target: model.TargetID(d.GetTarget()), StartedAtMillis: d.GetStarted(),
-			Report: d.GetReport(), Age: time.Duration(d.GetAge()) * stateAgeUnit})
+			Report: d.GetReport(), Age: time.Duration(d.GetAge()) * stateAgeUnit, Leaving: d.GetLeaving()})
 	}
 	return out
 }
--- a/node/gateway/state_test.go
+++ b/node/gateway/state_test.go
@@ -96,7 +96,7 @@
 func TestDeparturesAreDecodedAsSent(t *testing.T) {
 	sent := gateway.StateMessage{Sender: gateway.MemberState{Name: "a"}, WantsDepartures: true, Departures: []gateway.Departure{
 		{Target: "i-1", StartedAtMillis: 1 << 41, Report: 1 << 40, Age: 59 * time.Second},
-		{Target: "i-2", Age: 50 * time.Millisecond},
+		{Target: "i-2", Age: 50 * time.Millisecond, Leaving: true},
 	}}
 	raw, err := marshalState(sent)
 	if err != nil {
--- a/node/gateway/upstream.go
+++ b/node/gateway/upstream.go
@@ -257,6 +257,8 @@
 	ended.Status = r.status
 	ended.Load, ended.HasLoad, ended.ColdFor, ended.HasCold = headers.Load, headers.HasLoad, headers.ColdFor, headers.HasCold
 	ended.RateLimit, ended.HasRateLimit = headers.RateLimit, headers.HasRateLimit
+	// Another target that has the address says nothing of this one.
+	ended.Leaving = headers.Leaving && r.status != http.StatusMisdirectedRequest
 	switch {
 	case r.status == http.StatusMisdirectedRequest:
 		ended.Outcome, ended.Cause = gateway.OutcomeMisdirected, "another target has the address"
