core/gateway: a server that asks for a pause gets nothing until its end

Change: the time is read from answers with status 503 and excludes the target, at most 10 minutes, for own attempts and for those of other instances, which are refused and sent by their own way. After it the target gets one attempt at a time until it answers one. A start with a later born ends the pause. If too few services have another target, callers are refused at once with the time until the earliest pause ends in their Retry-After, the more urgent ones first.

Not built: the fault soak and testbed/target don't ask for pauses, and fleets were not tried.

--- a/core/gateway/batch.go
+++ b/core/gateway/batch.go
@@ -395,7 +395,8 @@
 			r.route.Shards = append(r.route.Shards, t.Service)
 		}
 		switch {
-		case g.stop.begun || t == nil || !shards[t.Service] || !g.isEligible(t) || len(t.inFlight) >= g.connectionLimit(r.parts[i].service):
+		case g.stop.begun || t == nil || !shards[t.Service] || !g.isEligible(t) || t.pause.until > g.now ||
+			t.pause.returning && len(t.inFlight) > 0 || len(t.inFlight) >= g.connectionLimit(r.parts[i].service):
 			g.forwardedEnded(r, BatchEnd{Index: i, Refused: true})
 		case t.downUntil > g.now:
 			g.forwardedEnded(r, BatchEnd{Index: i, End: AttemptEnded{Outcome: OutcomeNotSent, Cause: "the forwarder holds the target for down"}})
--- a/core/gateway/exchange.go
+++ b/core/gateway/exchange.go
@@ -36,10 +36,12 @@
 	NotExecuted bool
 	// Leaving is set if the target states that it is about to end.
 	Leaving bool
-	Load    Load
-	HasLoad bool
-	ColdFor time.Duration
-	HasCold bool
+	// RetryAfter is how long the target asks not to be sent anything, 0 if it does not ask.
+	RetryAfter time.Duration
+	Load       Load
+	HasLoad    bool
+	ColdFor    time.Duration
+	HasCold    bool
 	// RateLimit is the number of requests a second that the target accepts from all
 	// instances together, valid if HasRateLimit.
 	RateLimit    float64
--- a/core/gateway/input.go
+++ b/core/gateway/input.go
@@ -136,6 +136,9 @@
 	HasRateLimit bool
 	// Leaving is set if the target's answer states that it is about to end.
 	Leaving bool
+	// Pause is how long the target wants nothing from this instance, 0 if it did not turn the
+	// request away with such a time.
+	Pause time.Duration
 	// Reused is false if a connection had to be opened. Connect is how long opening
 	// the connection took, 0 if none was opened.
 	Reused  bool
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -103,6 +103,10 @@
 	// fleetPeakWindow is how long the largest known fleet counts for shares.
 	fleetPeakWindow = 15 * time.Second
 
+	// maxPause bounds the time for which a target is sent nothing because it asked for that, so
+	// that a faulty value does not exclude it for good.
+	maxPause = 10 * time.Minute
+
 	// minRateLimit replaces a smaller rate limit of a target, in requests per second, so that
 	// the end of the limit is noticed.
 	minRateLimit = 0.25
--- a/core/gateway/placement.go
+++ b/core/gateway/placement.go
@@ -21,8 +21,8 @@
 			continue
 		}
 		usable = true
-		// A target that was down gets one attempt at a time until it answers.
-		probing := t.downBackoff > 0 && len(t.inFlight) > 0
+		// A target that was down or paused gets one attempt at a time until it answers.
+		probing := (t.downBackoff > 0 || t.pause.returning) && len(t.inFlight) > 0
 		if probing || len(t.inFlight) >= connections || !g.withinWarmupRate(t, p.service) {
 			continue
 		}
@@ -50,8 +50,11 @@
 	return !t.gone && !t.leaving && t.State == TargetReady && !g.evacuated[t.Place]
 }
 
-// isUp reports whether a target is eligible, and up or due to be tried again.
-func (g *Gateway) isUp(t *target) bool { return g.isEligible(t) && t.downUntil <= g.now }
+// isUp reports whether a target is eligible, and up or due to be tried again, and does not
+// pause.
+func (g *Gateway) isUp(t *target) bool {
+	return g.isEligible(t) && t.downUntil <= g.now && t.pause.until <= g.now
+}
 
 // isUsable reports whether a target may be sent new work now: it is up and within its rate
 // limit.
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -137,8 +137,9 @@
 }
 
 // retryAfter returns a random delay for a refused caller, so that callers don't
-// return at once. More urgent routes get shorter delays.
+// return at once. More urgent routes get shorter delays. It begins when enough targets end
+// their pauses, if there are too few before.
 func (g *Gateway) retryAfter(r *request) time.Duration {
 	rank := time.Duration(1 + min(r.route.Priority, 8))
-	return refusedRetryAfter*rank + time.Duration(g.rng.Float64()*float64(refusedRetryAfter*rank))
+	return g.pauseLeft(r) + refusedRetryAfter*rank + time.Duration(g.rng.Float64()*float64(refusedRetryAfter*rank))
 }
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -33,6 +33,7 @@
 	// leaving is set once an answer of the target stated that it is about to end. It is never
 	// taken back.
 	leaving bool
+	pause   pause
 	// lapsedAt is when the entry was removed during or shortly after an outage of
 	// the store; 0 if the entry exists.
 	lapsedAt time.Duration
@@ -349,6 +350,7 @@
 	if in.Leaving {
 		g.targetLeaving(t)
 	}
+	g.observePause(a, in)
 	if in.Outcome == OutcomeSuccess || in.Outcome == OutcomeFailure {
 		g.service(t.Service).recent.add(g.now - a.sentAt)
 	}
--- a/node/gateway/departure_test.go
+++ b/node/gateway/departure_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -116,3 +117,36 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err == nil && resp.StatusCode == http.StatusOK
 }
+
+// Guards against requests to a server in the time for which it wants nothing, and against
+// callers that wait or are not told when to come back.
+func TestPausedServerGetsNoRequest(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	storeURL, server := startOneServerOfType(t, "safe", time.Second, 0)
+	_, s := startDaemon(t, "front-0", "ikeja", storeURL, func(*settings.Gateway) {})
+	waitReady(t, s)
+	server.SetShedding(true, "1.5")
+	for i := 0; server.Arrivals() == 0; i++ {
+		sendPlain(t, s, fmt.Sprintf("first%d", i))
+	}
+	turnedAway := time.Now()
+	before := server.Arrivals()
+	for i := 0; time.Since(turnedAway) < pause-200*time.Millisecond; i++ {
+		status, retryAfter := post(t, "http://"+s.CallerListen+"/p/x", fmt.Sprintf("paused%d", i), "")
+		if seconds, err := strconv.ParseFloat(retryAfter, 64); err != nil || status != http.StatusServiceUnavailable ||
+			time.Since(turnedAway)+time.Duration(seconds*float64(time.Second)) < pause-100*time.Millisecond {
+			t.Fatalf("%v after the server asked for a pause: got status %d, Retry-After %q, want 503 until its end", time.Since(turnedAway), status, retryAfter)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if got := server.Arrivals() - before; got > 0 {
+		t.Errorf("the server got %d requests in its pause, want none", got)
+	}
+	server.SetShedding(false, "")
+	for i := 0; !sendPlain(t, s, fmt.Sprintf("later%d", i)); i++ {
+		if time.Since(turnedAway) > 20*time.Second {
+			t.Fatal("no request was served after the pause")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/node/gateway/upstream.go
+++ b/node/gateway/upstream.go
@@ -259,6 +259,9 @@
 	ended.RateLimit, ended.HasRateLimit = headers.RateLimit, headers.HasRateLimit
 	// Another target that has the address says nothing of this one.
 	ended.Leaving = headers.Leaving && r.status != http.StatusMisdirectedRequest
+	if r.status == http.StatusServiceUnavailable {
+		ended.Pause = headers.RetryAfter
+	}
 	switch {
 	case r.status == http.StatusMisdirectedRequest:
 		ended.Outcome, ended.Cause = gateway.OutcomeMisdirected, "another target has the address"
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -214,7 +214,7 @@
 func (r *runner) shedRequests() {
 	s := r.randomServer()
 	r.log("server %s sheds", s.ID)
-	s.SetShedding(true)
+	s.SetShedding(true, "")
 }
 
 // dropAnswers makes a server run requests and close their connections without
@@ -313,7 +313,7 @@
 	r.background.Wait()
 	for _, s := range r.deployment.servers {
 		s.proxy.setMode(modeForward)
-		s.SetShedding(false)
+		s.SetShedding(false, "")
 		s.SetAbortAnswers(false)
 		s.SetFlood(platformtest.Flood{})
 	}
