core/gateway: departures are asked for in a bounded number of rounds

Cause: a starting instance asked in each state message of its first seconds, so that a start beside a mass departure cost up to some 140 messages of 1 KB.

Change: it asks in the first three rounds, and in three after each complete read. supersededBy says what isBefore meant.

--- a/core/gateway/departures.go
+++ b/core/gateway/departures.go
@@ -50,7 +50,7 @@
 		}
 		return
 	}
-	if d := g.departures[in.ID]; d != nil && !d.isBefore(in) {
+	if d := g.departures[in.ID]; d != nil && !d.supersededBy(in) {
 		g.ignoreEntry(d, in)
 		return
 	}
@@ -64,8 +64,8 @@
 	g.removeTarget(t)
 }
 
-// isBefore reports whether an entry shows that the target has registered again.
-func (d *departure) isBefore(entry Target) bool {
+// supersededBy reports whether an entry shows that the target has registered again.
+func (d *departure) supersededBy(entry Target) bool {
 	if d.leaving {
 		return entry.StartedAtMillis > d.StartedAtMillis
 	}
@@ -107,12 +107,6 @@
 	}
 }
 
-// wantsDepartures reports whether this instance may have missed departures: it has no state of
-// the store yet, or read a complete one a moment ago.
-func (g *Gateway) wantsDepartures() bool {
-	return !g.store.known || g.now-g.store.completeAt < departureQueryTime
-}
-
 // sendDepartures sends the departures that this instance knows, the latest first.
 func (g *Gateway) sendDepartures(to string) {
 	var known []*departure
@@ -148,7 +142,7 @@
 		learned := &departure{Target: last, at: g.now - n.Age, leaving: n.Leaving}
 		t, d := g.targets[n.Target], g.departures[n.Target]
 		switch {
-		case t != nil && learned.isBefore(t.Target):
+		case t != nil && learned.supersededBy(t.Target):
 		case d == nil:
 			g.departures[learned.ID] = learned
 			if t != nil {
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -63,6 +63,9 @@
 	restore    restoreState
 	// departures are the targets that left within departureMemory.
 	departures map[model.TargetID]*departure
+	// departureQueries is the number of rounds of state messages that ask others for their
+	// departures, as this instance may have missed some.
+	departureQueries int
 
 	requests map[RequestID]*request
 	attempts map[AttemptID]*attempt
@@ -146,7 +149,7 @@
 
 // begin starts the periodic and delayed work at the first tick.
 func (g *Gateway) begin() {
-	g.startedAt = g.now
+	g.startedAt, g.departureQueries = g.now, departureQueryRounds
 	g.after(sourceStartDelay, g.chooseSource)
 	g.after(gathererSearchTime, g.openAllAhead)
 	g.gossip()
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -141,9 +141,9 @@
 	// unrenewedEntryTime is above the time after which the store removes an entry that is not
 	// renewed: three report intervals of 1.2 s.
 	unrenewedEntryTime = 10 * time.Second
-	// departureQueryTime is how long after a complete read an instance asks others for
-	// departures, with each of its state messages.
-	departureQueryTime = 2 * gossipInterval
+	// departureQueryRounds is the number of rounds of state messages after the start, and after
+	// a complete read, that ask for departures.
+	departureQueryRounds = 3
 	// maxSentDepartures bounds the departures that an instance is sent on each request, and
 	// maxDeparturesBytes those in one message. departureBytes is the size of one without its ID.
 	maxSentDepartures  = 400
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -164,6 +164,7 @@
 	for _, address := range g.gossipPeers() {
 		g.emit(SendState{To: address, State: g.stateMessage(true)})
 	}
+	g.departureQueries = max(0, g.departureQueries-1)
 	g.after(g.nextRoundDelay(), g.gossip)
 }
 
@@ -225,7 +226,7 @@
 // stateMessage returns a message with the state of this instance and of a bounded
 // random choice of the members that are alive.
 func (g *Gateway) stateMessage(wantsReply bool) StateMessage {
-	message := StateMessage{Sender: g.self(), Sample: g.refreshedSample(), WantsDepartures: g.wantsDepartures(), WantsReply: wantsReply}
+	message := StateMessage{Sender: g.self(), Sample: g.refreshedSample(), WantsDepartures: g.departureQueries > 0, WantsReply: wantsReply}
 	crashes, crashBytes := g.regularCrashNews()
 	message.Crashes = crashes
 	maxGatherers := maxGossipGatherers - (crashBytes+memberBytes-1)/memberBytes
--- a/core/gateway/targets.go
+++ b/core/gateway/targets.go
@@ -89,8 +89,6 @@
 	known    bool // whether a complete read has arrived
 	relayed  bool // whether the last read came from another instance
 	position StorePosition
-	// completeAt is when the last complete read arrived.
-	completeAt time.Duration
 	// answeredAt is when the store last answered this instance or its source.
 	answeredAt time.Duration
 	// lost is set while the store does not answer this instance or its source, and
@@ -160,7 +158,7 @@
 // replaceAll applies a complete read: targets and evacuations that it lacks are
 // removed.
 func (g *Gateway) replaceAll(in StoreRead) {
-	g.store.known, g.store.completeAt = true, g.now
+	g.store.known, g.departureQueries = true, departureQueryRounds
 	inRead := make(map[model.TargetID]bool, len(in.Targets))
 	for _, t := range in.Targets {
 		inRead[t.ID] = true
