review: case 6, an entry whose fields are all misspelt names a server

Cause: encoding/json takes a key for a field whatever its case, so the check of missing fields in platform/decode.go passes an entry of another writer that spells each field with a capital.

Change: a script that writes one such entry under the id of a server of another service.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -16,16 +16,6 @@
 	err        error
 }
 
-// isPromise reports whether a status states that the request has not run and never will.
-func isPromise(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	default:
-		return false
-	}
-}
-
 // send makes one client attempt on a new connection.
 func (l *lab) send(in *instance, method, host, path, attempt, body string, timeout time.Duration) answer {
 	// MultiReader hides the type of the reader, so that net/http can't send the body twice.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,7 +31,8 @@
 }
 
 var cases = map[string]func(l *lab, trouble bool) error{
-	"refused": runRefused,
+	"misspelt": runMisspelt,
+	"late":     runLate,
 }
 
 func main() {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -25,11 +25,12 @@
 	mu      sync.Mutex
 	waiting int
 	seq     int
-	// fail decides whether a request that has run fails, nil for never. It returns the status
-	// of the server's failure, 0 for success.
-	fail func() int
-	// ran counts the runs of each attempt.
-	ran map[string]int
+	// ran counts the runs of each attempt, runAt has the time of the last one.
+	ran   map[string]int
+	runAt map[string]time.Time
+	// leaving is set once the server leaves, and stated in all its answers.
+	leaving bool
+	http    *http.Server
 }
 
 // listen starts the server on a free port of the IP address.
@@ -39,10 +40,22 @@
 		return err
 	}
 	s.address, s.slot, s.ran = l.Addr().String(), make(chan struct{}, s.slots), make(map[string]int)
-	go http.Serve(l, s) //nolint:errcheck // ends with the process
+	s.runAt = make(map[string]time.Time)
+	s.http = &http.Server{Handler: s}
+	go s.http.Serve(l) //nolint:errcheck // ends with the server
 	return nil
 }
 
+// leave makes the server state in all its answers that it leaves.
+func (s *server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// exit ends the server: its connections are closed and further ones refused.
+func (s *server) exit() { _ = s.http.Close() }
+
 // entry returns the server's next entry in the store.
 func (s *server) entry(state string, born time.Time) []byte {
 	s.mu.Lock()
@@ -56,12 +69,6 @@
 	return raw
 }
 
-func (s *server) setFail(fail func() int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fail = fail
-}
-
 // runs returns how often an attempt ran here.
 func (s *server) runs(attempt string) int {
 	s.mu.Lock()
@@ -101,6 +108,11 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Galenadyke-Attempt-Id")
 	h := w.Header()
+	s.mu.Lock()
+	if s.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	s.mu.Unlock()
 	h.Set("Galenadyke-Instance-Id", s.id)
 	h.Set("Galenadyke-Server-Load", s.load())
 	if r.URL.Path == "/health" {
@@ -134,7 +146,7 @@
 	defer func() { <-s.slot }()
 	s.mu.Lock()
 	s.ran[id]++
-	fail := s.fail
+	s.runAt[id] = time.Now()
 	s.mu.Unlock()
 	s.rec.add("server %s attempt %s runs", s.id, id)
 	select {
@@ -143,17 +155,12 @@
 		s.rec.add("server %s attempt %s dropped, its connection was closed", s.id, id)
 		panic(http.ErrAbortHandler)
 	}
-	status := 0
-	if fail != nil {
-		status = fail()
-	}
 	sum := sha256.Sum256([]byte(s.id + "/" + id))
 	h.Set("Galenadyke-Server-Stamp", s.id+"."+hex.EncodeToString(sum[:4]))
-	if status != 0 {
-		s.rec.add("server %s attempt %s has run and fails with status %d, without Galenadyke-Not-Executed", s.id, id, status)
-		w.WriteHeader(status)
-		_, _ = io.WriteString(w, "failed\n") // a failed write means that the caller has left
-		return
+	s.mu.Lock()
+	if s.leaving {
+		h.Set("Server-Leaving", "1")
 	}
+	s.mu.Unlock()
 	_, _ = fmt.Fprintf(w, "done %s %s", id, body)
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"sort"
@@ -58,6 +59,32 @@
 	s.changed = make(chan struct{})
 }
 
+// putEntry writes a server's report. The entry changes only if more than its seq does.
+func (s *store) putEntry(key string, value []byte) (changed bool) {
+	s.mu.Lock()
+	old, exists := s.items[key]
+	s.mu.Unlock()
+	if exists && bytes.Equal(withoutSeq(old.Value), withoutSeq(value)) {
+		return false
+	}
+	s.put(key, value)
+	return true
+}
+
+// withoutSeq returns an entry without its seq, or the value itself if it is no entry.
+func withoutSeq(value []byte) []byte {
+	var fields map[string]any
+	if json.Unmarshal(value, &fields) != nil {
+		return value
+	}
+	delete(fields, "seq")
+	raw, err := json.Marshal(fields)
+	if err != nil {
+		return value
+	}
+	return raw
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
