--- a/review/standin-2/misspelt.go
+++ b/review/standin-2/misspelt.go
@@ -39,8 +39,8 @@
 }
 
 // startOrders starts the servers, spread over zones, the configuration, and an instance for each
-// of instanceZones.
-func startOrders(l *lab, zones, instanceZones []string) error {
+// of instanceZones. work is how long a server takes for a request.
+func startOrders(l *lab, zones, instanceZones []string, work time.Duration) error {
 	if err := l.listenStore(); err != nil {
 		return err
 	}
@@ -50,7 +50,7 @@
 		servers int
 	}{{orderService, orderServers}, {crewService, crewServers}} {
 		for i := range part.servers {
-			s := &server{id: fmt.Sprintf("i-%08x", rand.Uint32()), service: part.service, zone: zones[i%len(zones)], slots: 2, queue: 8, work: 90 * time.Millisecond}
+			s := &server{id: fmt.Sprintf("i-%08x", rand.Uint32()), service: part.service, zone: zones[i%len(zones)], slots: 2, queue: 8, work: work}
 			if err := l.addServer(s); err != nil {
 				return err
 			}
@@ -90,7 +90,7 @@
 
 func runMisspelt(l *lab, trouble bool) error {
 	zones := []string{"ikeja", "lekki", "yaba", "apapa"}
-	if err := startOrders(l, zones, zones); err != nil {
+	if err := startOrders(l, zones, zones, 90*time.Millisecond); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -25,9 +26,9 @@
 	mu      sync.Mutex
 	waiting int
 	seq     int
-	// ran counts the runs of each attempt, runAt has the time of the last one.
-	ran   map[string]int
-	runAt map[string]time.Time
+	// ran counts the runs of each attempt, arrivedAt has the time of the last arrival.
+	ran       map[string]int
+	arrivedAt map[string]time.Time
 	// leaving is set once the server leaves, and stated in all its answers.
 	leaving bool
 	http    *http.Server
@@ -40,7 +41,7 @@
 		return err
 	}
 	s.address, s.slot, s.ran = l.Addr().String(), make(chan struct{}, s.slots), make(map[string]int)
-	s.runAt = make(map[string]time.Time)
+	s.arrivedAt = make(map[string]time.Time)
 	s.http = &http.Server{Handler: s}
 	go s.http.Serve(l) //nolint:errcheck // ends with the server
 	return nil
@@ -76,6 +77,13 @@
 	return s.ran[attempt]
 }
 
+// arrivals returns the time of the last arrival of each attempt.
+func (s *server) arrivals() map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.arrivedAt)
+}
+
 // acquire waits for a slot. It reports false if the queue is full or the caller leaves.
 func (s *server) acquire(r *http.Request) bool {
 	s.mu.Lock()
@@ -135,6 +143,9 @@
 		refuse(http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	s.arrivedAt[id] = time.Now()
+	s.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler) // the caller has left
@@ -146,7 +157,6 @@
 	defer func() { <-s.slot }()
 	s.mu.Lock()
 	s.ran[id]++
-	s.runAt[id] = time.Now()
 	s.mu.Unlock()
 	s.rec.add("server %s attempt %s runs", s.id, id)
 	select {
