--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 test: build
 	go test work
+	GALENADYKE_ABUSE=1 go test -count=1 ./testbed/abuse
 	@if grep -q '^ *Skipped: ' KNOWN-RED.txt 2>/dev/null; then echo "Known failures that were skipped:"; grep '^ *Skipped: ' KNOWN-RED.txt; fi
 
 lint: $(GOLANGCI)
