callers: callers have a bounded number of connections at a gateway

What callers saw: with 1,200 connections of clients that send nothing, or too little, the process had no descriptor left: no ordinary caller got in and no target or instance could be reached. Cause: connections were accepted without a bound. Change: at most max_connections (new setting, 2,048), half of the descriptors, and a quarter of memory_mb at 32 KiB each.

--- a/node/callers/connections.go
+++ b/node/callers/connections.go
@@ -14,6 +14,9 @@
 // longer than the limit, in place of the idle timeout of net/http, which can't change while
 // a server runs, whereas operators may publish another limit at any time.
 type Connections struct {
+	// Limits bound what callers can take. They are set before the server starts.
+	Limits Limits
+
 	headTimeout time.Duration
 	limit       func() time.Duration
 
@@ -51,6 +54,12 @@
 	// The fields below are guarded by connections.mu. requestArrived is set from the first
 	// byte of a request until net/http has read its head, reading during a Read.
 	requestArrived, reading bool
+	// requested is the number of bytes that the latest Read asked for. During a request
+	// net/http asks for one byte to notice the close of the connection, and for more to read
+	// the body.
+	requested int
+	// requestSince is when the first byte of a request arrived.
+	requestSince time.Time
 	// nextArrived is set if a byte of the next request was read during a request.
 	nextArrived bool
 	// closeRequested is set while the read is interrupted, closing from the close.
@@ -134,7 +143,7 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
-	if !c.connections.beginRead(c) {
+	if !c.connections.beginRead(c, len(b)) {
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(b)
@@ -215,18 +224,24 @@
 
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
-	conn, err := l.DrainingListener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.DrainingListener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.Connections.admit(time.Now()) {
+			return &Conn{Conn: conn, connections: l.Connections}, nil
+		}
+		conn.Close()
 	}
-	return &Conn{Conn: conn, connections: l.Connections}, nil
 }
 
 // beginRead reports whether a connection may be read, and marks it as being read then.
-func (cc *Connections) beginRead(c *Conn) bool {
+// requested is the number of bytes that the read asks for.
+func (cc *Connections) beginRead(c *Conn, requested int) bool {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	c.reading = !c.closing
+	c.reading, c.requested = !c.closing, requested
 	return c.reading
 }
 
@@ -265,6 +280,9 @@
 		c.readDeadline = time.Now().Add(cc.headTimeout)
 		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails only on a closed connection
 	}
+	if !c.requestArrived {
+		c.requestSince = time.Now()
+	}
 	c.requestArrived, c.unserved, c.nextArrived = true, true, false
 	delete(cc.idle, c)
 	cc.busy[c] = time.Time{}
--- /dev/null
+++ b/node/callers/limits.go
@@ -0,0 +1,43 @@
+package callers
+
+import "syscall"
+
+// Limits bound what the callers of a server can take. The zero value sets no bounds.
+type Limits struct {
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// OnRefused is called with the cause of each connection that is ended by a limit.
+	OnRefused func(Refusal)
+}
+
+// Refusal is the cause for which a limit ends a connection. It is a label of metrics.
+type Refusal string
+
+// RefusedConnections is the cause if there are too many connections.
+const RefusedConnections Refusal = "too_many_connections"
+
+func (l *Limits) refused(cause Refusal) {
+	if l.OnRefused != nil {
+		l.OnRefused(cause)
+	}
+}
+
+// MaxConnections returns the bound on the connections to an address: limit, or less if these
+// would take more than a share of the descriptors of the process.
+func MaxConnections(limit int, descriptorShare float64) int {
+	return max(1, min(limit, int(descriptorShare*float64(descriptorLimit()))))
+}
+
+// descriptorLimit returns the number of descriptors that the process may have open.
+func descriptorLimit() int {
+	const unknown = 1024 // the limit that POSIX systems commonly have
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur == 0 {
+		return unknown
+	}
+	return int(min(limit.Cur, 1<<30))
+}
+
+// ConnectionBytes is the memory of a connection with its buffers, its goroutines and a short
+// head.
+const ConnectionBytes = 32 << 10
--- a/node/gateway/bounds.go
+++ b/node/gateway/bounds.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"time"
 
+	"galenadyke.dev/node/callers"
 	"galenadyke.dev/node/memory"
+	"galenadyke.dev/node/settings"
 )
 
 // The bounds on what an instance reads from outside. docs/OPERATIONS.md lists them
@@ -32,6 +34,10 @@
 	// which may change while the server runs, whereas the bound of net/http can't.
 	callerHeadTimeout = 30 * time.Second
 	callerBodyTimeout = 30 * time.Second
+	// callerDescriptorShare and callerMemoryShare are the shares of the descriptors of the
+	// process and of the setting memory_mb that the connections of callers may take.
+	callerDescriptorShare = 0.5
+	callerMemoryShare     = 0.25
 	// maxPeerMessageBytes bounds a message between instances. It is several times the size
 	// of the store's content: a configuration of 1 MB and entries of 300 bytes for 2,300
 	// targets.
@@ -98,6 +104,15 @@
 	return n, err
 }
 
+// maxCallerConnections returns the number of connections that callers may have open.
+func maxCallerConnections(s settings.Gateway) int {
+	n := callers.MaxConnections(s.MaxConnections, callerDescriptorShare)
+	if s.MemoryMB > 0 {
+		n = min(n, int(callerMemoryShare*float64(s.MemoryMB)*(1<<20))/callers.ConnectionBytes)
+	}
+	return max(1, n)
+}
+
 // newBudget returns the budget for the heads and bodies in progress of an instance whose
 // setting memory_mb is given.
 func newBudget(memoryMB int) *memory.Budget {
--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -113,11 +113,14 @@
 	requests map[gateway.RequestID]*callerRequest
 }
 
-func newCallerServer(l *callers.DrainingListener, p Protocol, submit func(gateway.Input) bool, bootTime func() time.Duration, bodies *memory.Budget, m Metrics, spans *telemetry.Spans) *callerServer {
+// newCallerServer returns a server of callers with at most maxConnections connections, 0 for
+// any number.
+func newCallerServer(l *callers.DrainingListener, p Protocol, submit func(gateway.Input) bool, bootTime func() time.Duration, bodies *memory.Budget, maxConnections int, m Metrics, spans *telemetry.Spans) *callerServer {
 	s := &callerServer{protocol: p, submit: submit, bootTime: bootTime, bodies: bodies, metrics: m, spans: spans, requests: make(map[gateway.RequestID]*callerRequest)}
 	limits := defaultLimits
 	s.limits.Store(&limits)
 	s.connections = callers.NewConnections(callerHeadTimeout, func() time.Duration { return s.limits.Load().IdleTimeout })
+	s.connections.Limits = callers.Limits{MaxConnections: maxConnections, OnRefused: func(cause callers.Refusal) { m.RequestUnread(string(cause)) }}
 	s.listener = callers.Listener{DrainingListener: l, Connections: s.connections}
 	s.http = newServer(s.listener, s)
 	s.http.ConnState = s.connections.ConnState
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -206,7 +206,7 @@
 	}
 	submit := d.loop.Submit
 	d.bodies = newBudget(s.MemoryMB)
-	d.callers = newCallerServer(callers.NewDrainingListener(listeners[0].(*net.TCPListener)), p.Protocol, submit, d.clock.Boot, d.bodies, d.metrics, d.spans)
+	d.callers = newCallerServer(callers.NewDrainingListener(listeners[0].(*net.TCPListener)), p.Protocol, submit, d.clock.Boot, d.bodies, maxCallerConnections(s), d.metrics, d.spans)
 	d.callers.digestKey = []byte(s.DigestKey)
 	d.readyServer = newServer(listeners[1], http.HandlerFunc(d.serveReady))
 	d.controlServer = newServer(listeners[2], http.HandlerFunc(d.serveControl))
--- a/node/settings/gateway.go
+++ b/node/settings/gateway.go
@@ -58,6 +58,9 @@
 	// MemoryMB is the memory that the process may use, in units of 2^20 bytes;
 	// 0 sets no limit.
 	MemoryMB int `json:"memory_mb"`
+	// MaxConnections bounds the connections that callers may have open. They also take at most
+	// half of the descriptors of the process and a quarter of MemoryMB.
+	MaxConnections int `json:"max_connections"`
 	// DigestKey is the key of the digests by which instances tell each other of requests
 	// that crash targets. It must be the same at all instances.
 	DigestKey string `json:"digest_key"`
@@ -66,21 +69,25 @@
 	Spans
 }
 
+// DefaultMaxConnections is the default bound on the connections of callers.
+const DefaultMaxConnections = 2048
+
 // GatewayDefaults returns the default settings. Settings that depend on the
 // platform are empty.
 func GatewayDefaults() Gateway {
 	return Gateway{
-		ReadyPath:     "/readyz",
-		Seeds:         []string{},
-		RetryRatio:    0.2,
-		RetryWindow:   Duration(10 * time.Second),
-		RetrySlack:    50,
-		ColdOvershoot: 1.5,
-		ColdSlack:     5,
-		StopTimeout:   Duration(6 * time.Second),
-		Capacity:      1,
-		LogLevel:      "info",
-		Spans:         Spans{SpanExporter: ExporterNone},
+		ReadyPath:      "/readyz",
+		Seeds:          []string{},
+		RetryRatio:     0.2,
+		RetryWindow:    Duration(10 * time.Second),
+		RetrySlack:     50,
+		ColdOvershoot:  1.5,
+		ColdSlack:      5,
+		StopTimeout:    Duration(6 * time.Second),
+		Capacity:       1,
+		MaxConnections: DefaultMaxConnections,
+		LogLevel:       "info",
+		Spans:          Spans{SpanExporter: ExporterNone},
 	}
 }
 
@@ -120,7 +127,7 @@
 		"first_start": &s.FirstStart,
 		"retry_ratio": &s.RetryRatio, "retry_window": &s.RetryWindow, "retry_slack": &s.RetrySlack,
 		"cold_overshoot": &s.ColdOvershoot, "cold_slack": &s.ColdSlack,
-		"stop_timeout": &s.StopTimeout, "capacity": &s.Capacity, "memory_mb": &s.MemoryMB, "digest_key": &s.DigestKey, "log_level": &s.LogLevel,
+		"stop_timeout": &s.StopTimeout, "capacity": &s.Capacity, "memory_mb": &s.MemoryMB, "max_connections": &s.MaxConnections, "digest_key": &s.DigestKey, "log_level": &s.LogLevel,
 		"span_exporter": &s.SpanExporter, "span_file": &s.SpanFile,
 	}
 }
@@ -158,6 +165,7 @@
 	c.checkNotNegative("cold_slack", s.ColdSlack)
 	c.checkNotNegative("capacity", s.Capacity)
 	c.checkNotNegative("memory_mb", float64(s.MemoryMB))
+	c.checkPositive("max_connections", s.MaxConnections)
 	c.checkDuration("retry_window", s.RetryWindow, time.Second)
 	c.checkDuration("stop_timeout", s.StopTimeout, time.Second)
 	c.checkOneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
@@ -177,7 +185,8 @@
 		{"caller_listen", s.CallerListen == next.CallerListen}, {"ready_listen", s.ReadyListen == next.ReadyListen},
 		{"ready_path", s.ReadyPath == next.ReadyPath}, {"control_listen", s.ControlListen == next.ControlListen},
 		{"peer_listen", s.PeerListen == next.PeerListen}, {"capacity", s.Capacity == next.Capacity},
-		{"memory_mb", s.MemoryMB == next.MemoryMB}, {"digest_key", s.DigestKey == next.DigestKey}, {"log_level", s.LogLevel == next.LogLevel},
+		{"memory_mb", s.MemoryMB == next.MemoryMB}, {"max_connections", s.MaxConnections == next.MaxConnections},
+		{"digest_key", s.DigestKey == next.DigestKey}, {"log_level", s.LogLevel == next.LogLevel},
 		{"metrics_listen", s.MetricsListen == next.MetricsListen},
 		{"span_exporter", s.SpanExporter == next.SpanExporter}, {"span_file", s.SpanFile == next.SpanFile},
 	} {
@@ -188,6 +197,12 @@
 	return names
 }
 
+func (c *checker) checkPositive(field string, value int) {
+	if value < 1 {
+		c.report(field, "use 1 or more", "%d is below 1", value)
+	}
+}
+
 func (c *checker) checkNotNegative(field string, value float64) {
 	if value < 0 {
 		c.report(field, "use 0 or more", "%v is negative", value)
