callers: the heads of all requests share the memory of bodies in progress

What callers saw: a process ended, out of memory, when clients sent heads over the limit or without end, and also with many heads within the limit at once. Cause: net/http reads up to 1 MiB of each head, whatever the published limit, and keeps some 200 bytes for each header line beside its text; nothing bounded all heads together. Change: the connection counts bytes and lines of the head as they arrive. Why it works: what net/http holds for a head is bounded by what is charged for it.

--- a/node/callers/connections.go
+++ b/node/callers/connections.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -69,6 +70,10 @@
 	// unserved is set while bytes have been read that belong to no request that was served.
 	unserved bool
 	history  connectionHistory
+
+	// head is what the caller has sent of the head of a request. It belongs to the goroutine
+	// that serves the connection.
+	head head
 }
 
 // connectionHistory is what is logged about a connection that is closed during a stop.
@@ -150,10 +155,14 @@
 	if n == 0 && c.connections.isCloseRequested(c) {
 		n, err = c.readArrived(b, err)
 	}
-	if c.connections.endRead(c, n, len(b)) {
+	closing, inHead := c.connections.endRead(c, n, len(b))
+	if closing {
 		// Closed here rather than by net/http, as a request may arrive until then.
 		_ = c.Conn.Close()
 	}
+	if inHead && !c.countHead(b[:n]) {
+		return 0, os.ErrDeadlineExceeded // net/http writes no answer after it
+	}
 	return n, err
 }
 
@@ -251,25 +260,26 @@
 	return c.closeRequested
 }
 
-// endRead records the end of a read, and reports whether the connection has to be closed. A
-// connection on which a request has arrived is in use, and is not closed before the answer.
-// asked is the number of bytes that the read asked for.
-func (cc *Connections) endRead(c *Conn, n, asked int) bool {
+// endRead records the end of a read, and reports whether the connection has to be closed, and
+// whether the n bytes that were read belong to the head of a request. A connection on which a
+// request has arrived is in use, and is not closed before the answer. asked is the number of
+// bytes that the read asked for.
+func (cc *Connections) endRead(c *Conn, n, asked int) (closing, inHead bool) {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	c.reading = false
 	if n == 0 {
 		c.closing = c.closing || c.closeRequested
-		return c.closing
+		return c.closing, false
 	}
 	c.history.lastBytesAt = time.Now()
 	if c.history.State == http.StateActive {
 		// During a request net/http reads one byte ahead, of the next request.
 		c.nextArrived = c.nextArrived || asked == 1
-		return false
+		return false, false
 	}
 	cc.requestBegun(c)
-	return false
+	return false, true
 }
 
 // requestBegun records that the first bytes of a request have arrived on a connection. The
@@ -394,6 +404,9 @@
 
 // ConnState is the hook http.Server.ConnState.
 func (cc *Connections) ConnState(c net.Conn, state http.ConnState) {
+	if c, ok := c.(*Conn); ok {
+		c.headEnded(state)
+	}
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	switch state {
--- /dev/null
+++ b/node/callers/heads_test.go
@@ -0,0 +1,91 @@
+package callers
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"galenadyke.dev/node/memory"
+)
+
+// Guards against bytes of a body that count as the head, and against a head whose end is
+// missed because of how it is split, or taken for reached by empty lines before it.
+func TestHeadIsCountedUpToItsEmptyLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before := strings.Repeat("\r\n", rapid.IntRange(0, 2).Draw(t, "empty lines"))
+		text := before + "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", rapid.IntRange(0, 3).Draw(t, "lines")) + "\r\n"
+		all := text + rapid.StringMatching(`(body)?(\r\n){0,3}`).Draw(t, "body")
+		var h head
+		for rest := all; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "read")
+			h.add([]byte(rest[:n]))
+			rest = rest[n:]
+		}
+		if h.bytes != len(text) || !h.ended || h.lines != strings.Count(text, "\n") {
+			t.Fatalf("%q: got %d bytes, %d lines, ended %v, want %d bytes, all lines, ended", all, h.bytes, h.lines, h.ended, len(text))
+		}
+	})
+}
+
+// startLimited starts a server with limits that answers each request.
+func startLimited(t *testing.T, limits Limits) (address string, connections *Connections) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	connections = NewConnections(headTimeout, func() time.Duration { return time.Minute })
+	connections.Limits = limits
+	server := &http.Server{ConnState: connections.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	go server.Serve(Listener{NewDrainingListener(l.(*net.TCPListener)), connections}) //nolint:errcheck // ends with the server
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String(), connections
+}
+
+// exchange sends a text on a new connection and reads an answer.
+func exchange(t *testing.T, address, text string) (status int, header http.Header) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%.40q: got error %v, want an answer", text, err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode, resp.Header
+}
+
+// Guards against heads that are read without a bound, against refusals that the caller can't
+// read, and against memory of heads that is not given back.
+func TestHeadsOverTheLimitsAreRefused(t *testing.T) {
+	budget := memory.NewBudget(100 << 10)
+	address, _ := startLimited(t, Limits{MaxHeadBytes: func() int { return 16 << 10 }, Memory: budget})
+	begin := "GET / HTTP/1.1\r\nHost: h\r\n"
+	if status, _ := exchange(t, address, begin+"\r\n"); status != 200 {
+		t.Errorf("a short head: got %d, want 200", status)
+	}
+	if status, _ := exchange(t, address, begin+"X-Long: "+strings.Repeat("x", 30<<10)); status != 431 {
+		t.Errorf("a long head: got %d, want 431", status)
+	}
+	lines := strings.Repeat("a:\r\n", 1000)
+	if status, header := exchange(t, address, begin+lines); status != 503 || header.Get("Retry-After") == "" {
+		t.Errorf("a head over the memory: got %d, want 503 with a Retry-After", status)
+	}
+	for deadline := time.Now().Add(5 * time.Second); budget.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are taken after the connections have ended, want 0", budget.Used())
+		}
+	}
+}
--- a/node/callers/limits.go
+++ b/node/callers/limits.go
@@ -1,11 +1,19 @@
 package callers
 
-import "syscall"
+import (
+	"syscall"
+
+	"galenadyke.dev/node/memory"
+)
 
 // Limits bound what the callers of a server can take. The zero value sets no bounds.
 type Limits struct {
 	// MaxConnections bounds the open connections.
 	MaxConnections int
+	// MaxHeadBytes returns the bound on the head of a request in bytes.
+	MaxHeadBytes func() int
+	// Memory bounds the memory of the heads of all requests in progress.
+	Memory *memory.Budget
 	// OnRefused is called with the cause of each connection that is ended by a limit.
 	OnRefused func(Refusal)
 }
@@ -13,8 +21,12 @@
 // Refusal is the cause for which a limit ends a connection. It is a label of metrics.
 type Refusal string
 
-// RefusedConnections is the cause if there are too many connections.
-const RefusedConnections Refusal = "too_many_connections"
+// The causes of refusals.
+const (
+	RefusedHead        Refusal = "head_too_large"
+	RefusedMemory      Refusal = "no_memory"
+	RefusedConnections Refusal = "too_many_connections"
+)
 
 func (l *Limits) refused(cause Refusal) {
 	if l.OnRefused != nil {
@@ -38,6 +50,6 @@
 	return int(min(limit.Cur, 1<<30))
 }
 
-// ConnectionBytes is the memory of a connection with its buffers, its goroutines and a short
-// head.
+// ConnectionBytes is the memory of a connection with its buffers, its goroutines and a head of
+// up to freeHeadBytes.
 const ConnectionBytes = 32 << 10
--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -120,7 +120,8 @@
 	limits := defaultLimits
 	s.limits.Store(&limits)
 	s.connections = callers.NewConnections(callerHeadTimeout, func() time.Duration { return s.limits.Load().IdleTimeout })
-	s.connections.Limits = callers.Limits{MaxConnections: maxConnections, OnRefused: func(cause callers.Refusal) { m.RequestUnread(string(cause)) }}
+	s.connections.Limits = callers.Limits{MaxConnections: maxConnections, MaxHeadBytes: func() int { return s.limits.Load().MaxHeaderBytes },
+		Memory: bodies, OnRefused: func(cause callers.Refusal) { m.RequestUnread(string(cause)) }}
 	s.listener = callers.Listener{DrainingListener: l, Connections: s.connections}
 	s.http = newServer(s.listener, s)
 	s.http.ConnState = s.connections.ConnState
