gateway: the size of a head is the one on the wire

What callers saw: 431 for a head within the published limit, if its lines have no space after the colon. Cause: the size was computed from the parsed headers, with a space for each line. Change: the connection counts the bytes up to the empty line; the computed size, now without spaces, still holds for a head that was read together with the request before it.

--- a/node/callers/connections.go
+++ b/node/callers/connections.go
@@ -74,6 +74,8 @@
 	// head is what the caller has sent of the head of a request. It belongs to the goroutine
 	// that serves the connection.
 	head head
+	// headBytes is the size of the latest head.
+	headBytes int
 }
 
 // connectionHistory is what is logged about a connection that is closed during a stop.
--- a/node/callers/heads.go
+++ b/node/callers/heads.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -100,6 +102,23 @@
 	return err
 }
 
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// ConnContext is the hook http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// HeadBytes returns the size on the wire of the head of the request with the context, or less
+// if its begin was read together with the request before it.
+func HeadBytes(ctx context.Context) int {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		return c.headBytes
+	}
+	return 0
+}
+
 // headEnded is called when the connection enters a state. The memory of a head is kept during
 // the request.
 func (c *Conn) headEnded(state http.ConnState) {
@@ -109,6 +128,7 @@
 		if hold != nil {
 			_ = hold.Finish() // a head that was complete when it was ended is served
 		}
+		c.headBytes = c.head.bytes
 		c.head = head{hold: hold}
 	case http.StateIdle, http.StateClosed, http.StateHijacked:
 		if hold != nil {
--- a/node/callers/heads_test.go
+++ b/node/callers/heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -33,7 +34,7 @@
 	})
 }
 
-// startLimited starts a server with limits that answers each request.
+// startLimited starts a server with limits that answers with the size of the head.
 func startLimited(t *testing.T, limits Limits) (address string, connections *Connections) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -42,14 +43,17 @@
 	}
 	connections = NewConnections(headTimeout, func() time.Duration { return time.Minute })
 	connections.Limits = limits
-	server := &http.Server{ConnState: connections.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	server := &http.Server{ConnState: connections.ConnState, ConnContext: ConnContext,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = fmt.Fprint(w, HeadBytes(r.Context()))
+		})}
 	go server.Serve(Listener{NewDrainingListener(l.(*net.TCPListener)), connections}) //nolint:errcheck // ends with the server
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String(), connections
 }
 
 // exchange sends a text on a new connection and reads an answer.
-func exchange(t *testing.T, address, text string) (status int, header http.Header) {
+func exchange(t *testing.T, address, text string) (status int, header http.Header, body string) {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	if err != nil {
@@ -63,8 +67,11 @@
 	if err != nil {
 		t.Fatalf("%.40q: got error %v, want an answer", text, err)
 	}
-	resp.Body.Close()
-	return resp.StatusCode, resp.Header
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header, string(raw)
 }
 
 // Guards against heads that are read without a bound, against refusals that the caller can't
@@ -73,14 +80,14 @@
 	budget := memory.NewBudget(100 << 10)
 	address, _ := startLimited(t, Limits{MaxHeadBytes: func() int { return 16 << 10 }, Memory: budget})
 	begin := "GET / HTTP/1.1\r\nHost: h\r\n"
-	if status, _ := exchange(t, address, begin+"\r\n"); status != 200 {
-		t.Errorf("a short head: got %d, want 200", status)
+	if status, _, body := exchange(t, address, begin+"\r\n"); status != 200 || body != fmt.Sprint(len(begin)+2) {
+		t.Errorf("a short head: got %d, %q, want 200 and its size", status, body)
 	}
-	if status, _ := exchange(t, address, begin+"X-Long: "+strings.Repeat("x", 30<<10)); status != 431 {
+	if status, _, _ := exchange(t, address, begin+"X-Long: "+strings.Repeat("x", 30<<10)); status != 431 {
 		t.Errorf("a long head: got %d, want 431", status)
 	}
 	lines := strings.Repeat("a:\r\n", 1000)
-	if status, header := exchange(t, address, begin+lines); status != 503 || header.Get("Retry-After") == "" {
+	if status, header, _ := exchange(t, address, begin+lines); status != 503 || header.Get("Retry-After") == "" {
 		t.Errorf("a head over the memory: got %d, want 503 with a Retry-After", status)
 	}
 	for deadline := time.Now().Add(5 * time.Second); budget.Used() != 0; time.Sleep(time.Millisecond) {
--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -124,7 +124,7 @@
 		Memory: bodies, OnRefused: func(cause callers.Refusal) { m.RequestUnread(string(cause)) }}
 	s.listener = callers.Listener{DrainingListener: l, Connections: s.connections}
 	s.http = newServer(s.listener, s)
-	s.http.ConnState = s.connections.ConnState
+	s.http.ConnState, s.http.ConnContext = s.connections.ConnState, callers.ConnContext
 	return s
 }
 
@@ -280,7 +280,7 @@
 	req := s.newRequest(r.Method, s.protocol.ParseCaller(r.Header))
 	req.host, req.path = r.Host, pathOf(r)
 	limits := s.limits.Load()
-	if size := headSize(r); size > limits.MaxHeaderBytes {
+	if size := max(headSize(r), callers.HeadBytes(r.Context())); size > limits.MaxHeaderBytes {
 		return nil, &headTooLargeError{Size: size, Limit: limits.MaxHeaderBytes}
 	}
 	limit := limits.MaxBodyBytes
@@ -329,13 +329,14 @@
 	return s.protocol.SetsHeader(canonicalName) || s.spans.Enabled() && canonicalName == traceparentHeader
 }
 
-// headSize returns the size of the head of a request on the wire, in bytes.
+// headSize returns the smallest size of the head of a request on the wire, in bytes. It is
+// without the spaces around values, which net/http removes.
 func headSize(r *http.Request) int {
 	// The request line with its two spaces, the Host header and the empty line.
-	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host: ") + len(r.Host) + 4*len("\r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host:") + len(r.Host) + 4*len("\r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
-			size += len(name) + len(": ") + len(value) + len("\r\n")
+			size += len(name) + len(":") + len(value) + len("\r\n")
 		}
 	}
 	return size
--- a/testbed/abuse/gateway_test.go
+++ b/testbed/abuse/gateway_test.go
@@ -182,7 +182,7 @@
 	skipKnownRed(t)
 	g := startGateway(t)
 	checkAnswered(t, g.atLimits)
-	lines := "GET /one/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+	lines := "GET /one/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nGalenadyke-Attempt-Id: lines\r\n"
 	conn, err := net.Dial("tcp", g.settings.CallerListen)
 	if err != nil {
 		t.Fatal(err)
