gateway: a caller that does not read its answer loses it when its memory is needed

What callers saw: 503 for lack of memory on any request with an answer, for as long as a few clients kept their connections open without reading. Cause: a write to a caller had no time limit, and the memory of an answer that was being written was kept from everybody else. Why it works: neither time nor memory nor a connection stays with a caller that takes no bytes.

--- a/node/callers/connections.go
+++ b/node/callers/connections.go
@@ -59,8 +59,11 @@
 	// net/http asks for one byte to notice the close of the connection, and for more to read
 	// the body.
 	requested int
-	// requestSince is when the first byte of a request arrived.
-	requestSince time.Time
+	// requestSince is when the first byte of a request arrived, writingSince is when the Write
+	// in progress began, zero if there is none.
+	requestSince, writingSince time.Time
+	// writeEnded is set once a write deadline in the past has ended all writes.
+	writeEnded bool
 	// nextArrived is set if a byte of the next request was read during a request.
 	nextArrived bool
 	// closeRequested is set while the read is interrupted, closing from the close.
--- a/node/callers/evict.go
+++ b/node/callers/evict.go
@@ -80,6 +80,8 @@
 // accept an answer, the zero time if it does not. The caller holds connections.mu.
 func (c *Conn) waitingSince() time.Time {
 	switch {
+	case !c.writingSince.IsZero():
+		return c.writingSince
 	case c.history.State == http.StateNew:
 		return c.history.openedAt
 	case c.history.State == http.StateIdle:
--- a/node/callers/limits.go
+++ b/node/callers/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"galenadyke.dev/node/memory"
 )
@@ -14,6 +15,8 @@
 	MaxHeadBytes func() int
 	// Memory bounds the memory of the heads of all requests in progress.
 	Memory *memory.Budget
+	// WriteTimeout bounds the time that a caller may take to accept a write.
+	WriteTimeout time.Duration
 	// OnRefused is called with the cause of each connection that is ended by a limit.
 	OnRefused func(Refusal)
 }
--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -121,7 +121,7 @@
 	s.limits.Store(&limits)
 	s.connections = callers.NewConnections(callerHeadTimeout, func() time.Duration { return s.limits.Load().IdleTimeout })
 	s.connections.Limits = callers.Limits{MaxConnections: maxConnections, MaxHeadBytes: func() int { return s.limits.Load().MaxHeaderBytes },
-		Memory: bodies, OnRefused: func(cause callers.Refusal) { m.RequestUnread(string(cause)) }}
+		Memory: bodies, WriteTimeout: callerWriteTimeout, OnRefused: func(cause callers.Refusal) { m.RequestUnread(string(cause)) }}
 	s.listener = callers.Listener{DrainingListener: l, Connections: s.connections}
 	s.http = newServer(s.listener, s)
 	s.http.ConnState, s.http.ConnContext = s.connections.ConnState, callers.ConnContext
@@ -393,6 +393,7 @@
 	switch a.Kind {
 	case gateway.AnswerTarget:
 		rep := req.reply(a.Attempt)
+		rep.hold.Resume(func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0)) })
 		for name, values := range forwardedHeaders(rep.header, func(string) bool { return false }) {
 			w.Header()[name] = values
 		}
