gateway: a refused request does not wait for the rest of its body

What callers saw: nothing; each client that was refused with 413 or 431 and sent no more bytes kept a connection and a goroutine for ever. Cause: after the answer net/http reads up to 256 KiB of the rest, without a time limit unless the connection has one. Change: the read deadline is a second from the refusal. Evidence: TestRefusedRequestDoesNotWaitForItsBody failed on the commit before (i/o timeout after 10 s, both cases) and passes.

--- a/node/gateway/bounds.go
+++ b/node/gateway/bounds.go
@@ -34,8 +34,10 @@
 	// which may change while the server runs, whereas the bound of net/http can't.
 	callerHeadTimeout = 30 * time.Second
 	callerBodyTimeout = 30 * time.Second
-	// callerWriteTimeout bounds the time that a caller takes to accept an answer.
+	// callerWriteTimeout bounds the time that a caller takes to accept an answer, and
+	// refusedBodyTime that for the rest of a body after a refusal.
 	callerWriteTimeout = 30 * time.Second
+	refusedBodyTime    = time.Second
 	// callerDescriptorShare and callerMemoryShare are the shares of the descriptors of the
 	// process and of the setting memory_mb that the connections of callers may take.
 	callerDescriptorShare = 0.5
--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -174,6 +174,8 @@
 func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req, err := s.readRequest(w, r)
 	if err != nil {
+		// After the answer net/http reads the rest of a body.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTime))
 		s.refuseUnread(w, r, err)
 		return
 	}
--- a/node/gateway/callers_test.go
+++ b/node/gateway/callers_test.go
@@ -247,3 +247,25 @@
 		t.Errorf("got %d requests at the core, want 1, the one within the limit", len(inputs))
 	}
 }
+
+// Guards against a connection that is kept for the rest of a body whose request was refused.
+func TestRefusedRequestDoesNotWaitForItsBody(t *testing.T) {
+	server, base, _ := startCallerServer(t, nil)
+	server.setLimits(gateway.CallerLimits{MaxHeaderBytes: 1000, MaxBodyBytes: 100})
+	for name, request := range map[string]string{
+		"413": "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\nx",
+		"431": "POST /x HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("x", 1000) + "\r\nContent-Length: 50\r\n\r\nx",
+	} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, request)
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		answer, err := io.ReadAll(c)
+		if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 "+name) {
+			t.Errorf("got error %v, answer %.40q, want %s and then the close", err, answer, name)
+		}
+	}
+}
