core/gateway: an answered request is not kept until its deadline

What callers saw: nothing in calm; an instance grew with the rate of requests times their time limit. Cause: the timers of a request (objective, deadline, hedge, queue, probes) were not cancelled, and each refers to the request with its steps. Change: the timers of a request are cancelled when it leaves the table. Cancelled timers are removed from the heap once they are half of it. Why it works: nothing refers to a request that has left the table.

--- a/core/gateway/batch.go
+++ b/core/gateway/batch.go
@@ -107,7 +107,7 @@
 	g.emit(out)
 	g.recordStep(r, "forwarded", string(m.Name), "%d parts in %s, %d other batches at it, heard of %d ms ago",
 		len(attempts), m.Place, m.forwarding-1, (g.now-m.heardAt)/time.Millisecond)
-	g.after(max(0, r.objective-g.now), func() { g.checkForwarder(b) })
+	g.afterFor(r, max(0, r.objective-g.now), func() { g.checkForwarder(b) })
 }
 
 // sendDirectly sends an attempt from this instance.
@@ -421,7 +421,7 @@
 		g.reportEnds(r)
 	case !f.scheduled:
 		f.scheduled = true
-		g.after(f.delay, func() { g.reportEnds(r) })
+		g.afterFor(r, f.delay, func() { g.reportEnds(r) })
 	}
 }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"galenadyke.dev/core/model"
@@ -48,6 +49,8 @@
 	inputs []Input
 	out    []Output
 	timers timerHeap
+	// cancelledTimers is the number of timers whose task was cancelled.
+	cancelledTimers int
 
 	config      *Configuration // nil until known
 	routes      *routes
@@ -129,8 +132,14 @@
 	clear(g.inputs)
 	g.inputs = g.inputs[:0]
 	for len(g.timers) > 0 && g.timers[0].at <= g.now {
-		t := heap.Pop(&g.timers).(timer)
-		t.fire()
+		t := heap.Pop(&g.timers).(timer).task
+		if t.fire == nil {
+			g.cancelledTimers--
+			continue
+		}
+		fire := t.fire
+		t.fire = nil
+		fire()
 	}
 	g.resumeDeferred()
 	g.sendAllCollected()
@@ -234,13 +243,16 @@
 	return h
 }
 
-// timer calls fire at a time on the Boot clock. Timers are not cancelled, so fire
-// checks whether the state that it refers to still exists.
+// timer runs a task at a time on the Boot clock.
 type timer struct {
 	at   time.Duration
-	fire func()
+	task *task
 }
 
+// task is what a timer does. Only the timers of requests are cancelled, so fire checks whether
+// the state that it refers to still exists.
+type task struct{ fire func() } // nil if it was cancelled or has run
+
 type timerHeap []timer
 
 func (h timerHeap) Len() int           { return len(h) }
@@ -259,7 +271,35 @@
 	return t
 }
 
-// after schedules fire for d from now.
-func (g *Gateway) after(d time.Duration, fire func()) {
-	heap.Push(&g.timers, timer{at: g.now + d, fire: fire})
+// after schedules fire for d from now, and returns the task.
+func (g *Gateway) after(d time.Duration, fire func()) *task {
+	t := &task{fire}
+	heap.Push(&g.timers, timer{at: g.now + d, task: t})
+	return t
+}
+
+// afterFor schedules fire for d from now, unless the request is removed from the table before.
+func (g *Gateway) afterFor(r *request, d time.Duration, fire func()) {
+	r.timers = append(r.timers, g.after(d, fire))
+}
+
+// minCancelledTimers is the number of cancelled timers from which they are removed early.
+const minCancelledTimers = 256
+
+// cancelTimers cancels the timers of a request. Most requests end long before their deadline,
+// and a timer refers to its request. Once half of all timers are cancelled, these are removed.
+func (g *Gateway) cancelTimers(r *request) {
+	for _, t := range r.timers {
+		if t.fire != nil {
+			t.fire = nil
+			g.cancelledTimers++
+		}
+	}
+	r.timers = nil
+	if g.cancelledTimers < minCancelledTimers || g.cancelledTimers < len(g.timers)/2 {
+		return
+	}
+	g.timers = slices.DeleteFunc(g.timers, func(t timer) bool { return t.task.fire == nil })
+	heap.Init(&g.timers)
+	g.cancelledTimers = 0
 }
--- a/core/gateway/gatherers.go
+++ b/core/gateway/gatherers.go
@@ -83,7 +83,7 @@
 	oneWay := g.roundTrip(m.Place) / 2
 	g.emit(Delegate{Attempt: a.id, Request: r.id, To: m.Address, Objective: r.objective - oneWay, Deadline: r.deadline - oneWay,
 		CallerDeadline: r.callerDeadline, Configuration: g.config.Version})
-	g.after(time.Duration(delegateProbeShare*float64(r.objective-g.now)), func() { g.probeGatherer(a) })
+	g.afterFor(r, time.Duration(delegateProbeShare*float64(r.objective-g.now)), func() { g.probeGatherer(a) })
 	return true
 }
 
@@ -272,7 +272,7 @@
 			return
 		}
 	}
-	g.after(delegateProbeGap, func() { g.probeGatherer(a) })
+	g.afterFor(a.request, delegateProbeGap, func() { g.probeGatherer(a) })
 }
 
 // giveUpGatherer fails a request that was delegated to an instance that is silent, while
--- a/core/gateway/hedge.go
+++ b/core/gateway/hedge.go
@@ -19,7 +19,7 @@
 	if r.deadline-g.now-delay < minAttemptTime {
 		return
 	}
-	g.after(delay, func() { g.hedge(a) })
+	g.afterFor(r, delay, func() { g.hedge(a) })
 }
 
 // hedgeDelay returns the time from the sending of an attempt at t to its hedge.
@@ -56,7 +56,7 @@
 		return
 	}
 	if g.holdsRetries(r) {
-		g.after(minHedgeDelay, func() { g.hedge(a) })
+		g.afterFor(r, minHedgeDelay, func() { g.hedge(a) })
 		return
 	}
 	t, _ := g.chooseTarget(r, p)
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -36,7 +36,7 @@
 	s.waiting = slices.Insert(s.waiting, position, w)
 	if len(r.route.Shards) == 0 && r.route.LatencyObjective > 0 {
 		maxWait := time.Duration(queueShare * float64(r.route.LatencyObjective))
-		g.after(r.arrived+maxWait-g.now, func() {
+		g.afterFor(r, r.arrived+maxWait-g.now, func() {
 			if !r.ended && r.pendingAttempts == 0 && r.parts[i].state == partOpen {
 				g.failRequest(r, "no target of "+string(s.id)+" was free in time")
 			}
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -59,6 +59,8 @@
 	deferred []int
 	// breaks are the attempts of a gathering request that broke at targets.
 	breaks []partBreak
+	// timers are those of the request, until it is removed from the table.
+	timers []*task
 	// forward is set if the request is a batch that another instance sent.
 	forward *forwarding
 }
@@ -217,9 +219,9 @@
 // schedule sets the timers for the objective and the deadline of a request.
 func (g *Gateway) schedule(r *request) {
 	if len(r.route.Shards) > 0 && r.objective < r.deadline {
-		g.after(r.objective-g.now, func() { g.tryPartialAnswer(r) })
+		g.afterFor(r, r.objective-g.now, func() { g.tryPartialAnswer(r) })
 	}
-	g.after(r.deadline-g.now, func() { g.timeOut(r) })
+	g.afterFor(r, r.deadline-g.now, func() { g.timeOut(r) })
 }
 
 // startPart sends the first attempt of a part, queues the part until a connection
@@ -485,7 +487,7 @@
 		r.parts[i].answer = Part{}
 	}
 	if r.pendingAttempts > 0 {
-		g.after(min(abandonAfter, max(0, r.deadline-g.now)), func() { g.cancel(r) })
+		g.afterFor(r, min(abandonAfter, max(0, r.deadline-g.now)), func() { g.cancel(r) })
 	}
 	g.removeIfDone(r)
 }
@@ -531,5 +533,6 @@
 func (g *Gateway) removeIfDone(r *request) {
 	if r.ended && r.pendingAttempts == 0 {
 		delete(g.requests, r.id)
+		g.cancelTimers(r)
 	}
 }
