gateway: bounds for the clients of the balancer's and the operators' addresses

What callers saw: clients of these addresses took the descriptors and the memory of the process, and no ordinary caller got in. Cause: these servers had the bound of 1 MiB for a head only: no bound on connections, on idle time, on the time of a body that nobody reads, or on the time to accept an answer. Change: they use the same listener as callers: 64 connections each and at most 1/32 of the descriptors, heads of 16 KiB from the common budget, 10 s for a request and for an answer, 2 min idle. A new connection replaces one that waits for its client, so the balancer gets in.

--- a/node/gateway/bounds.go
+++ b/node/gateway/bounds.go
@@ -42,6 +42,15 @@
 	// process and of the setting memory_mb that the connections of callers may take.
 	callerDescriptorShare = 0.5
 	callerMemoryShare     = 0.25
+	// controlConnections bounds the connections to each address of the balancer and of
+	// operators, and controlDescriptorShare is the share of the descriptors that they may take.
+	controlConnections     = 64
+	controlDescriptorShare = 1.0 / 32
+	// maxControlHeadBytes bounds the head of a request to these addresses, controlTimeout the
+	// time for a request and for an answer, and controlIdleTimeout that between two requests.
+	maxControlHeadBytes = 16 << 10
+	controlTimeout      = 10 * time.Second
+	controlIdleTimeout  = 2 * time.Minute
 	// maxPeerMessageBytes bounds a message between instances. It is several times the size
 	// of the store's content: a configuration of 1 MB and entries of 300 bytes for 2,300
 	// targets.
@@ -117,6 +126,12 @@
 	return max(1, n)
 }
 
+// maxControlConnections returns the number of connections that an address of the balancer or of
+// operators may have open.
+func maxControlConnections() int {
+	return callers.MaxConnections(controlConnections, controlDescriptorShare)
+}
+
 // newBudget returns the budget for the heads and bodies in progress of an instance whose
 // setting memory_mb is given.
 func newBudget(memoryMB int) *memory.Budget {
--- a/node/gateway/callers.go
+++ b/node/gateway/callers.go
@@ -170,6 +170,19 @@
 	return s
 }
 
+// newControlServer returns a server for the balancer or operators, which passes every request
+// to the handler. The memory of heads is taken from the budget.
+func newControlServer(l net.Listener, h http.Handler, budget *memory.Budget) *khttp.Server {
+	connections := callers.NewConnections(controlTimeout, func() time.Duration { return controlIdleTimeout })
+	connections.Limits = callers.Limits{MaxConnections: maxControlConnections(), MaxHeadBytes: func() int { return maxControlHeadBytes },
+		Memory: budget, WriteTimeout: controlTimeout}
+	s := newServer(callers.Listener{DrainingListener: callers.NewDrainingListener(l.(*net.TCPListener)), Connections: connections}, h)
+	s.ConnState = connections.ConnState
+	s.ReadHeaderTimeout, s.ReadTimeout = controlTimeout, controlTimeout
+	s.IdleTimeout = -1 // connections closes idle ones
+	return s
+}
+
 // ServeHTTP implements http.Handler. It serves a request from a caller.
 func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req, err := s.readRequest(w, r)
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -208,11 +208,11 @@
 	d.bodies = newBudget(s.MemoryMB)
 	d.callers = newCallerServer(callers.NewDrainingListener(listeners[0].(*net.TCPListener)), p.Protocol, submit, d.clock.Boot, d.bodies, maxCallerConnections(s), d.metrics, d.spans)
 	d.callers.digestKey = []byte(s.DigestKey)
-	d.readyServer = newServer(listeners[1], http.HandlerFunc(d.serveReady))
-	d.controlServer = newServer(listeners[2], http.HandlerFunc(d.serveControl))
+	d.readyServer = newControlServer(listeners[1], http.HandlerFunc(d.serveReady), d.bodies)
+	d.controlServer = newControlServer(listeners[2], http.HandlerFunc(d.serveControl), d.bodies)
 	d.servers = map[string]*khttp.Server{"callers": d.callers.http, "balancer": d.readyServer, "control": d.controlServer}
 	if listeners[4] != nil {
-		d.servers["metrics"] = newServer(listeners[4], http.HandlerFunc(d.serveControl))
+		d.servers["metrics"] = newControlServer(listeners[4], http.HandlerFunc(d.serveControl), d.bodies)
 	}
 	d.peerListener = listeners[3]
 	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), bodies: d.bodies, bootTime: d.clock.Boot,
