peer: bounds for the clients of the address for other instances

What callers saw: clients of this address took the memory (up to 677 MB of 128) or the descriptors of a process of either daemon. Cause: gRPC bounds one message and little else. Connections, calls on a connection, heads of calls (16 MB), the messages that arrive on all of them together and the requests that they delegate had no common bound. Change: a guard between the listener and gRPC counts connections, calls, frames and the bytes of messages that are not complete; what exceeds two calls on a connection is taken from a budget, and the connection that takes the most is closed when it is used up. Heads have 4 KiB, a connection has 256 calls. A delegated request takes its memory too, or fails as not run (Aborted, a code that gRPC itself never uses).

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -18,12 +18,23 @@
 	"galenadyke.dev/node/backend"
 	"galenadyke.dev/node/callers"
 	"galenadyke.dev/node/driver"
+	"galenadyke.dev/node/memory"
 	"galenadyke.dev/node/peer"
 	"galenadyke.dev/node/platform"
 	"galenadyke.dev/node/settings"
 	"galenadyke.dev/node/telemetry"
 )
 
+const (
+	// peerBudget is the memory for messages of instances that are arriving: one message of the
+	// largest size and a quarter of one more.
+	peerBudget = 80 << 20
+	// peerConnections bounds the connections of other instances, and peerDescriptorShare is the
+	// share of the descriptors that they may take.
+	peerConnections     = 1024
+	peerDescriptorShare = 0.25
+)
+
 // Daemon is one running instance.
 type Daemon struct {
 	coreCfg         model.CoreConfig
@@ -118,7 +129,7 @@
 	d.api = api.New(api.Config{Core: d.coreCfg, Submit: submit, DumpTrace: d.ring.Dump, Metrics: d.metrics, Spans: d.spans}, d.httpListener.(*net.TCPListener))
 	d.backend = backend.New(backend.Config{Submit: submit, BootTime: clock.Boot, Spans: d.spans, Metrics: d.metrics})
 	peerCfg := peer.Config{Self: d.coreCfg.Self, Incarnation: d.coreCfg.Incarnation, Submit: submit, BootTime: clock.Boot, Log: d.log, Metrics: d.metrics}
-	d.links, d.peerServer = peer.NewLinks(peerCfg), peer.NewServer(peerCfg)
+	d.links, d.peerServer = peer.NewLinks(peerCfg), peer.NewServer(peerCfg, peer.NewGuard(callers.MaxConnections(peerConnections, peerDescriptorShare), memory.NewBudget(peerBudget)))
 	d.configReader = platform.NewConfigReader(s.ConfigURL, s.ConfigKey, submit, d.log, d.metrics)
 	d.instanceWatcher = platform.NewInstanceWatcher(s.InstancesURL, s.InstancesService, submit, d.log, d.metrics)
 }
--- a/node/gateway/bounds.go
+++ b/node/gateway/bounds.go
@@ -46,6 +46,10 @@
 	// operators, and controlDescriptorShare is the share of the descriptors that they may take.
 	controlConnections     = 64
 	controlDescriptorShare = 1.0 / 32
+	// peerConnections bounds the connections of other instances, and peerDescriptorShare is the
+	// share of the descriptors that they may take.
+	peerConnections     = 640
+	peerDescriptorShare = 0.2
 	// maxControlHeadBytes bounds the head of a request to these addresses, controlTimeout the
 	// time for a request and for an answer, and controlIdleTimeout that between two requests.
 	maxControlHeadBytes = 16 << 10
@@ -61,11 +65,12 @@
 	// maxStateMessageBytes bounds a state message between instances. A message of this size
 	// fits into one packet; a longer one is refused.
 	maxStateMessageBytes = 1400
-	// bodyBudgetShare is the share of the setting memory_mb that the bodies of all requests
-	// and answers in progress may take together, and defaultBodyBudget that bound without
-	// the setting, in bytes.
-	bodyBudgetShare   = 0.25
-	defaultBodyBudget = 64 << 20
+	// bodyMemoryShare is the share of the setting memory_mb that the heads and bodies of all
+	// requests and answers in progress may take together, and peerMemoryShare that of the
+	// messages between instances. Without the setting they are shares of defaultMemoryMB.
+	bodyMemoryShare = 0.25
+	peerMemoryShare = 0.125
+	defaultMemoryMB = 256
 )
 
 // A bound names what a boundError is about. The names are labels of gateway_over_bound.
@@ -132,13 +137,15 @@
 	return callers.MaxConnections(controlConnections, controlDescriptorShare)
 }
 
-// newBudget returns the budget for the heads and bodies in progress of an instance whose
-// setting memory_mb is given.
-func newBudget(memoryMB int) *memory.Budget {
+// maxPeerConnections returns the number of connections that other instances may have open.
+func maxPeerConnections() int { return callers.MaxConnections(peerConnections, peerDescriptorShare) }
+
+// newBudget returns a budget of a share of the setting memory_mb.
+func newBudget(memoryMB int, share float64) *memory.Budget {
 	if memoryMB == 0 {
-		return memory.NewBudget(defaultBodyBudget)
+		memoryMB = defaultMemoryMB
 	}
-	return memory.NewBudget(int64(bodyBudgetShare * float64(memoryMB) * (1 << 20)))
+	return memory.NewBudget(int64(share * float64(memoryMB) * (1 << 20)))
 }
 
 // readBody reads a body of at most limit bytes, as memory.ReadAll does. The error of a body that
--- a/node/gateway/callers_test.go
+++ b/node/gateway/callers_test.go
@@ -43,7 +43,7 @@
 		}
 		return true
 	}
-	server = newCallerServer(callers.NewDrainingListener(l.(*net.TCPListener)), testProtocol{}, submit, func() time.Duration { return time.Since(start) }, newBudget(0), 0, noMetrics{}, &telemetry.Spans{})
+	server = newCallerServer(callers.NewDrainingListener(l.(*net.TCPListener)), testProtocol{}, submit, func() time.Duration { return time.Since(start) }, newBudget(0, bodyMemoryShare), 0, noMetrics{}, &telemetry.Spans{})
 	go server.http.Start(t.Context()) //nolint:errcheck // ends with the test
 	t.Cleanup(func() { server.http.Close() })
 	return server, "http://" + l.Addr().String(), inputs
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -21,6 +21,7 @@
 	"galenadyke.dev/node/callers"
 	"galenadyke.dev/node/driver"
 	"galenadyke.dev/node/memory"
+	"galenadyke.dev/node/peer"
 	"galenadyke.dev/node/settings"
 	"galenadyke.dev/node/telemetry"
 )
@@ -205,7 +206,7 @@
 		return fmt.Errorf("peer_listen: %w; use a port that is free for TCP and UDP", err)
 	}
 	submit := d.loop.Submit
-	d.bodies = newBudget(s.MemoryMB)
+	d.bodies = newBudget(s.MemoryMB, bodyMemoryShare)
 	d.callers = newCallerServer(callers.NewDrainingListener(listeners[0].(*net.TCPListener)), p.Protocol, submit, d.clock.Boot, d.bodies, maxCallerConnections(s), d.metrics, d.spans)
 	d.callers.digestKey = []byte(s.DigestKey)
 	d.readyServer = newControlServer(listeners[1], http.HandlerFunc(d.serveReady), d.bodies)
@@ -214,13 +215,15 @@
 	if listeners[4] != nil {
 		d.servers["metrics"] = newControlServer(listeners[4], http.HandlerFunc(d.serveControl), d.bodies)
 	}
-	d.peerListener = listeners[3]
+	peerMemory := newBudget(s.MemoryMB, peerMemoryShare)
+	guard := peer.NewGuard(maxPeerConnections(), peerMemory)
+	d.peerListener = guard.Listen(listeners[3])
 	d.upstream = &upstream{protocol: p.Protocol, pools: newPools(d.metrics.ConnectionOpened), bodies: d.bodies, bootTime: d.clock.Boot,
 		overBound: d.answerOverBound}
 	d.state = &stateLink{socket: socket, submit: submit, log: d.log, protect: d.protect}
 	d.store = p.OpenStore(s.Store, s.FirstStart, submit, d.log)
-	d.peers = &peerServer{store: d.store, callers: d.callers, stopping: make(chan struct{})}
-	d.peerServer = newPeerServer(d.peers, grpc.UnaryInterceptor(d.protectUnary), grpc.StreamInterceptor(d.protectStream))
+	d.peers = &peerServer{store: d.store, callers: d.callers, memory: peerMemory, stopping: make(chan struct{})}
+	d.peerServer = newPeerServer(d.peers, guard, grpc.UnaryInterceptor(d.protectUnary), grpc.StreamInterceptor(d.protectStream))
 	return nil
 }
 
--- a/node/gateway/digest_test.go
+++ b/node/gateway/digest_test.go
@@ -42,7 +42,7 @@
 // Guards against instances that follow a request under different digests, or different requests under one.
 func TestDigestOfAReadRequest(t *testing.T) {
 	read := func(target, host, id, body string) gateway.RequestDigest {
-		s := &callerServer{protocol: testProtocol{}, spans: &telemetry.Spans{}, bodies: newBudget(64), digestKey: []byte("store")}
+		s := &callerServer{protocol: testProtocol{}, spans: &telemetry.Spans{}, bodies: newBudget(64, bodyMemoryShare), digestKey: []byte("store")}
 		s.limits.Store(&gateway.CallerLimits{MaxHeaderBytes: 1 << 10, MaxBodyBytes: 1 << 10, IdleTimeout: time.Second})
 		r := httptest.NewRequest(http.MethodPost, target, strings.NewReader(body))
 		r.Host = host
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -27,12 +27,15 @@
 		Remaining: time.Duration(in.GetCallerLeftNs()), Organisation: in.GetOrganisation()})
 	req.head, req.body, req.delegated = in.GetHead(), in.GetBody(), true
 	req.digest = gateway.RequestDigest(in.GetDigest())
+	defer req.release()
+	if err := s.takeMemory(req); err != nil {
+		return err
+	}
 	// A reply reports at least one end, so the core never blocks on the channel.
 	req.forwarded = make(chan gateway.ReplyBatch, len(in.GetTargets()))
 	var endSpan func(failure string)
 	req.traceparent, endSpan = c.spans.StartRequest(in.GetTraceparent(), req.caller.AttemptID, true)
 	c.add(req)
-	defer req.release()
 	defer c.remove(req.id)
 	arrived := gateway.BatchArrived{Request: req.id, Route: in.GetRoute(), TopK: int(in.GetTopK()), At: c.bootTime(),
 		ReportDelay: time.Duration(in.GetReportDelayNs()), Deadline: time.Duration(in.GetDeadlineLeftNs()), Remaining: req.caller.Remaining,
@@ -122,7 +125,7 @@
 		return gateway.OutcomeSuccess
 	case replied:
 		return gateway.OutcomeBroken
-	case code == codes.Unimplemented || code == codes.InvalidArgument:
+	case code == codes.Unimplemented || code == codes.InvalidArgument || code == codes.Aborted:
 		return gateway.OutcomeShed
 	case code == codes.Unavailable && !sent:
 		return gateway.OutcomeNotSent
--- a/node/gateway/lost_test.go
+++ b/node/gateway/lost_test.go
@@ -608,7 +608,7 @@
 	r := NewStopRun(seed)
 	r.Begin(lead, 0)
 	start := time.Now()
-	r.followCallers(newCallerServer(callers.NewDrainingListener(l.(*net.TCPListener)), testProtocol{}, r.submit, func() time.Duration { return time.Since(start) }, newBudget(0), 0, noMetrics{}, &telemetry.Spans{}))
+	r.followCallers(newCallerServer(callers.NewDrainingListener(l.(*net.TCPListener)), testProtocol{}, r.submit, func() time.Duration { return time.Since(start) }, newBudget(0, bodyMemoryShare), 0, noMetrics{}, &telemetry.Spans{}))
 	log, err := telemetry.NewLog(io.Discard, "error", telemetry.NewGatewayMetrics())
 	if err != nil {
 		t.Fatal(err)
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -14,6 +14,7 @@
 
 	"galenadyke.dev/core/gateway"
 	"galenadyke.dev/node/gateway/gatewaypb"
+	"galenadyke.dev/node/memory"
 	"galenadyke.dev/node/peer"
 )
 
@@ -93,9 +94,10 @@
 	}
 }
 
-// newPeerServer returns a gRPC server that passes calls to s.
-func newPeerServer(s *peerServer, opts ...grpc.ServerOption) *grpc.Server {
-	server := peer.NewGRPCServer(maxPeerMessageBytes, append(opts, grpc.WriteBufferSize(peerWriteBufferBytes))...)
+// newPeerServer returns a gRPC server that passes calls to s. It serves on listeners of the
+// guard.
+func newPeerServer(s *peerServer, guard *peer.Guard, opts ...grpc.ServerOption) *grpc.Server {
+	server := peer.NewGRPCServer(maxPeerMessageBytes, guard, append(opts, grpc.WriteBufferSize(peerWriteBufferBytes))...)
 	gatewaypb.RegisterGatewayServer(server, s)
 	return server
 }
@@ -105,10 +107,30 @@
 	gatewaypb.UnimplementedGatewayServer
 	store   Store
 	callers *callerServer
+	// memory bounds the memory of requests of other instances and of changes for them.
+	memory *memory.Budget
 	// stopping is closed when the instance stops. It ends the streams of followers.
 	stopping chan struct{}
 }
 
+// errNoMemory is the error of a call that was not begun because there is no memory for it. gRPC
+// itself never uses its code.
+var errNoMemory = status.Error(codes.Aborted, "the instance has no memory for the call")
+
+// takeMemory takes the memory of a request of another instance until its release.
+func (s *peerServer) takeMemory(req *callerRequest) error {
+	hold := s.memory.Hold(func() {})
+	err := hold.Grow(int64(len(req.head) + len(req.body)))
+	if err == nil {
+		err = hold.Finish()
+	}
+	if err != nil {
+		return errNoMemory
+	}
+	req.holds = append(req.holds, hold)
+	return nil
+}
+
 // Gather implements gatewaypb.GatewayServer. It handles a delegated request.
 func (s *peerServer) Gather(ctx context.Context, in *gatewaypb.GatherRequest) (*gatewaypb.GatherReply, error) {
 	req := s.callers.newRequest(in.GetMethod(), gateway.CallerHeaders{AttemptID: in.GetAttemptId(),
@@ -120,6 +142,9 @@
 		Configuration: in.GetConfiguration(),
 	}}
 	defer req.release()
+	if err := s.takeMemory(req); err != nil {
+		return nil, err
+	}
 	a, ok := s.callers.handle(ctx, req, in.GetTraceparent(), arrived)
 	if !ok {
 		return nil, context.Cause(ctx)
@@ -176,6 +201,10 @@
 	}, grpc.Peer(&sentTo))
 	if err != nil {
 		ended.Cause = err.Error()
+		if status.Code(err) == codes.Aborted {
+			ended.Outcome = gateway.OutcomeShed
+			return ended
+		}
 		if sentTo.Addr != nil || status.Code(err) != codes.Unavailable {
 			ended.Outcome = gateway.OutcomeBroken
 		}
--- a/node/gateway/upstream_test.go
+++ b/node/gateway/upstream_test.go
@@ -137,7 +137,7 @@
 
 func newTestUpstream() *testUpstream {
 	s := &testUpstream{start: time.Now()}
-	s.u = &upstream{protocol: testProtocol{}, pools: newPools(func() {}), bodies: newBudget(0), bootTime: func() time.Duration { return time.Since(s.start) },
+	s.u = &upstream{protocol: testProtocol{}, pools: newPools(func() {}), bodies: newBudget(0, bodyMemoryShare), bootTime: func() time.Duration { return time.Since(s.start) },
 		overBound: func(_ model.TargetID, over *boundError) { s.over = append(s.over, over.bound) }}
 	return s
 }
--- a/node/peer/grpc.go
+++ b/node/peer/grpc.go
@@ -46,9 +46,13 @@
 }
 
 // NewGRPCServer returns a server for other instances that accepts messages of up
-// to maxMessageBytes.
-func NewGRPCServer(maxMessageBytes int, opts ...grpc.ServerOption) *grpc.Server {
+// to maxMessageBytes. It serves on listeners of the guard.
+func NewGRPCServer(maxMessageBytes int, guard *Guard, opts ...grpc.ServerOption) *grpc.Server {
 	return grpc.NewServer(append([]grpc.ServerOption{
+		grpc.StatsHandler(guard),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.MaxHeaderListSize(maxCallHeadBytes),
+		grpc.MaxConcurrentStreams(maxCallsPerConnection),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.ReadBufferSize(ioBufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
--- a/node/peer/link_test.go
+++ b/node/peer/link_test.go
@@ -17,6 +17,7 @@
 
 	"galenadyke.dev/core/model"
 	"galenadyke.dev/core/objects"
+	"galenadyke.dev/node/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -61,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(i.config("b"))
+	s := NewServer(i.config("b"), NewGuard(8, memory.NewBudget(maxFrameBytes)))
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(l) }()
 	closed := false
@@ -204,7 +205,7 @@
 // of the newer stream.
 func TestNewerStreamReplacesTheOlder(t *testing.T) {
 	b := newTestInstance()
-	s := NewServer(b.config("b"))
+	s := NewServer(b.config("b"), NewGuard(8, memory.NewBudget(maxFrameBytes)))
 	old := s.register("a")
 	s.submit(old, model.PeerDown{Peer: "marker"})
 	s.register("a")
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -23,8 +23,9 @@
 // Server receives the streams of other instances.
 type Server struct {
 	peerpb.UnimplementedPeerServer
-	cfg  Config
-	grpc *grpc.Server
+	cfg   Config
+	guard *Guard
+	grpc  *grpc.Server
 
 	// mu guards streams. It is locked before inboundStream.mu.
 	mu      sync.Mutex
@@ -43,16 +44,17 @@
 	submitted bool
 }
 
-// NewServer returns a server, which accepts streams once Serve is called.
-func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, streams: make(map[model.InstanceID]*inboundStream)}
-	s.grpc = NewGRPCServer(maxFrameBytes)
+// NewServer returns a server, which accepts streams once Serve is called. The guard bounds what
+// the senders of streams take.
+func NewServer(cfg Config, guard *Guard) *Server {
+	s := &Server{cfg: cfg, guard: guard, streams: make(map[model.InstanceID]*inboundStream)}
+	s.grpc = NewGRPCServer(maxFrameBytes, guard)
 	peerpb.RegisterPeerServer(s.grpc, s)
 	return s
 }
 
 // Serve accepts streams on the listener until Close is called.
-func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(s.guard.Listen(l)) }
 
 // Close breaks all streams.
 func (s *Server) Close() { s.grpc.Stop() }
--- a/testbed/abuse/peer_test.go
+++ b/testbed/abuse/peer_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -165,6 +166,29 @@
 			}
 			return err
 		})},
+		{"short unfinished messages of many clients", eachStream(1, func(c *http2Conn, stream uint32) error {
+			err := c.open(stream, method)
+			if err == nil && len(hello) > 0 {
+				err = c.send(stream, message(len(hello), hello), false)
+			}
+			if err == nil {
+				err = c.send(stream, message(maxMessage, make([]byte, shortMessageBytes)), false)
+			}
+			return err
+		})},
+		{"message in frames of one byte", eachStream(1, func(c *http2Conn, stream uint32) error {
+			err := c.open(stream, method)
+			if err == nil && len(hello) > 0 {
+				err = c.send(stream, message(len(hello), hello), false)
+			}
+			if err == nil {
+				err = c.send(stream, message(maxMessage, nil), false)
+			}
+			for i := 0; err == nil && i < shortFrames; i++ {
+				err = c.send(stream, []byte("x"), false)
+			}
+			return err
+		})},
 		{"unfinished messages", eachStream(200, func(c *http2Conn, stream uint32) error {
 			if stream > 1 && maxMessage > 32<<20 {
 				return nil // one message is enough
@@ -182,8 +206,15 @@
 	}
 }
 
-// peerCrowd is the number of clients of a crowd that speaks gRPC.
-const peerCrowd = 40
+const (
+	// peerCrowd is the number of clients of a crowd that speaks gRPC.
+	peerCrowd = 40
+	// shortMessageBytes is the size of the messages of a crowd of gatewayCrowd or runCrowd
+	// clients.
+	shortMessageBytes = 700 << 10
+	// shortFrames is the number of frames of a message that consists of one byte in each.
+	shortFrames = 300_000
+)
 
 func TestGatewaySurvivesCallsOfItsPeerAddress(t *testing.T) {
 	skipUnlessEnabled(t)
@@ -191,7 +222,11 @@
 		t.Run(fmt.Sprint(i, " ", a.name), func(t *testing.T) {
 			skipKnownRed(t)
 			g := startGateway(t)
-			c := &crowd{address: g.settings.PeerListen, clients: peerCrowd, rounds: gatewayRounds, script: a.script}
+			clients := peerCrowd
+			if strings.Contains(a.name, "many clients") {
+				clients = gatewayCrowd
+			}
+			c := &crowd{address: g.settings.PeerListen, clients: clients, rounds: gatewayRounds, script: a.script}
 			g.checkServesWithin(t, c, g.ordinary)
 		})
 	}
--- a/testbed/abuse/run_test.go
+++ b/testbed/abuse/run_test.go
@@ -106,7 +106,7 @@
 			skipKnownRed(t)
 			r := startRun(t)
 			clients := peerCrowd
-			if i >= 4 {
+			if i >= 6 || strings.Contains(a.name, "many clients") {
 				clients = runCrowd
 			}
 			c := &crowd{address: r.settings.GRPCListen, clients: clients, rounds: runRounds, script: newAttacks(r)[i].script}
