gateway: changes of the store that a follower does not accept take its budget

What callers saw: clients of the address for other instances that opened streams of the store's changes and read none took the memory of the process. Cause: gRPC keeps a message after Send until the receiver accepts it; each of many streams kept a copy of the whole store. Change: a change from 32 KiB on takes 1 MiB of the budget of the address, the size of gRPC's buffer for it, until the next Send, which gRPC delays until the follower has accepted the first; a single change is followed by an empty one for that. The largest is ended when the budget is used up.

--- a/node/gateway/follow.go
+++ b/node/gateway/follow.go
@@ -11,6 +11,8 @@
 
 	"galenadyke.dev/core/gateway"
 	"galenadyke.dev/node/gateway/gatewaypb"
+	"galenadyke.dev/node/memory"
+	"galenadyke.dev/node/peer"
 )
 
 const (
@@ -36,13 +38,19 @@
 	since := gateway.StorePosition{Era: in.GetEra(), Revision: in.GetRevision()}
 	heartbeat := time.NewTicker(followHeartbeat)
 	defer heartbeat.Stop()
+	sent := &sentChange{budget: s.memory, stream: stream}
+	defer sent.release()
 	for {
 		change, changed := s.store.Changes(since)
-		if err := stream.Send(encodeChange(change)); err != nil {
+		if err := sent.send(change); err != nil {
 			return err
 		}
 		if in.GetOnce() {
-			return nil
+			if sent.hold == nil {
+				return nil
+			}
+			// Returns once the follower has accepted the change or has left.
+			return sent.send(gateway.StoreChange{Era: change.Era, Revision: change.Revision, Lost: change.Lost, Age: change.Age})
 		}
 		if since.Before(change.Position()) {
 			since = change.Position()
@@ -58,6 +66,54 @@
 	}
 }
 
+// sentChange is the latest change on a stream. gRPC keeps a message after Send until the
+// follower has accepted it, and delays the next Send until then.
+type sentChange struct {
+	budget *memory.Budget
+	stream grpc.ServerStreamingServer[gatewaypb.Change]
+	hold   *memory.Hold // the memory of a change over minHeldChange, nil if there is none
+}
+
+const (
+	// minHeldChange is the size from which a change is taken from the budget. It is below what
+	// gRPC sends without waiting for the follower.
+	minHeldChange = 32 << 10
+	// messageBufferBytes is the size of the buffers that gRPC takes for messages of that size.
+	messageBufferBytes = 1 << 20
+)
+
+// send sends a change. Its memory is taken until the next one has been sent.
+func (c *sentChange) send(change gateway.StoreChange) error {
+	var hold *memory.Hold
+	if size := changeBytes(change); size >= minHeldChange {
+		hold = c.budget.Hold(func() { peer.CloseConnection(c.stream.Context()) })
+		if err := hold.Grow(max(size, messageBufferBytes)); err != nil {
+			hold.Release()
+			return errNoMemory
+		}
+	}
+	err := c.stream.Send(encodeChange(change))
+	c.release()
+	c.hold = hold
+	return err
+}
+
+func (c *sentChange) release() {
+	if c.hold != nil {
+		c.hold.Release()
+	}
+}
+
+// changeBytes returns the approximate size of a change as a message.
+func changeBytes(change gateway.StoreChange) int64 {
+	const itemBytes = 32
+	size := 0
+	for _, i := range change.Items {
+		size += itemBytes + len(i.Key) + len(i.Value)
+	}
+	return int64(size)
+}
+
 func encodeChange(change gateway.StoreChange) *gatewaypb.Change {
 	out := &gatewaypb.Change{Era: change.Era, Revision: change.Revision, Complete: change.Complete, Lost: change.Lost, AgeNs: int64(change.Age)}
 	for _, i := range change.Items {
--- a/node/peer/guard.go
+++ b/node/peer/guard.go
@@ -249,6 +249,13 @@
 	return context.WithValue(ctx, connKey{}, g.conns[info.RemoteAddr.String()])
 }
 
+// CloseConnection closes the connection of the call with the context.
+func CloseConnection(ctx context.Context) {
+	if c, ok := ctx.Value(callKey{}).(*call); ok {
+		_ = c.conn.Conn.Close() // the server notices it in a read
+	}
+}
+
 // HandleConn implements stats.Handler.
 func (g *Guard) HandleConn(context.Context, stats.ConnStats) {}
 
