core/gateway: the table of members is bounded

What callers saw: no answer for over 10 s while anybody sent state messages that name many members. Cause: each name in a state message became a member for 30 s, and each message walks the table. Change: at most 1,024 members, twice the fleet of the target size. A member that has sent a message itself replaces one that is only known from others; members that are silent make room for any.

--- a/core/gateway/bounds_test.go
+++ b/core/gateway/bounds_test.go
@@ -1,10 +1,46 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"galenadyke.dev/core/model"
 )
 
+// Guards against a table of members that grows with forged messages, and against members that
+// are kept out of it by members that nobody has heard of directly.
+func TestMemberTableIsBounded(t *testing.T) {
+	h := newHarness(t)
+	state := func(i int) MemberState {
+		return MemberState{Name: model.InstanceID(fmt.Sprintf("x%d", i)), Address: "127.0.0.1:1", Incarnation: 1, Heartbeat: 1}
+	}
+	for i := range 100 {
+		message := StateMessage{Sender: state(0)}
+		for j := range 30 {
+			message.Members = append(message.Members, state(1+30*i+j))
+		}
+		h.step(StateReceived{State: message})
+	}
+	h.tick()
+	if n := len(h.g.members.byName); n != maxMembers {
+		t.Errorf("got %d members, want %d", n, maxMembers)
+	}
+	direct := state(100_000)
+	h.step(StateReceived{State: StateMessage{Sender: direct}})
+	h.tick()
+	if h.g.members.byName[direct.Name] == nil {
+		t.Error("a member that sent a message is not in the table, want it in place of one that is only known from others")
+	}
+	if n := len(h.g.members.byName); n != maxMembers {
+		t.Errorf("got %d members, want %d", n, maxMembers)
+	}
+	h.run(memberForgetAfter + 2*time.Second)
+	if n := len(h.g.members.byName); n != 0 {
+		t.Errorf("got %d members without news for long, want 0", n)
+	}
+}
+
 // Guards against requests that are kept until their deadline after they have been answered.
 func TestAnsweredRequestsAreNotKept(t *testing.T) {
 	h := newHarness(t)
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -244,6 +244,8 @@
 	// reaches all members after about log2(instances) rounds.
 	memberLostAfter   = 8 * time.Second
 	memberForgetAfter = 30 * time.Second
+	// maxMembers bounds the table of members: twice the instances of a fleet of the target size.
+	maxMembers = 1024
 
 	// maxCrashes is the number of crashes from which a request is held. maxCrashRecords bounds
 	// the distinct targets, and the distinct attempts, that are recorded for a request.
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -273,6 +274,9 @@
 	}
 	g.mergeMember(sender, true)
 	m := g.members.byName[sender.Name]
+	if m == nil {
+		return // there are too many members
+	}
 	m.directAt, m.answeredAt = g.now, g.now-sender.StoreAge
 	g.receiveSample(sender.Name, in.State.Sample)
 	g.receiveCrashNews(in.State.Crashes)
@@ -308,6 +312,8 @@
 func (g *Gateway) mergeMember(s MemberState, direct bool) {
 	m := g.members.byName[s.Name]
 	switch {
+	case m == nil && !g.makeMemberRoom(direct):
+		return
 	case m == nil:
 		m = &member{}
 		g.members.byName[s.Name] = m
@@ -320,6 +326,28 @@
 	m.MemberState, m.heardAt = s, g.now
 }
 
+// makeMemberRoom reports whether another member may be added. If there are too many, it removes
+// one that is no longer alive or, in favour of a member that has sent a message itself, one that
+// has not: anybody can state members that do not exist.
+func (g *Gateway) makeMemberRoom(direct bool) bool {
+	if len(g.members.byName) < maxMembers {
+		return true
+	}
+	var oldest *member
+	for _, m := range g.members.byName {
+		removable := !g.alive(m) || direct && m.directAt == 0
+		if removable && (oldest == nil || cmp.Or(cmp.Compare(m.heardAt, oldest.heardAt), cmp.Compare(m.Name, oldest.Name)) < 0) {
+			oldest = m
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(g.members.byName, oldest.Name)
+	g.emit(Event{Name: "MemberForgotten", Subject: string(oldest.Name), Before: "known", After: "replaced, there are too many members"})
+	return true
+}
+
 // mayFetchEra reports whether everything may be fetched from a member in a later era of the
 // store. All instances need everything then and mostly get it from their source, so a member
 // in another data centre is asked only if that takes twice sourceBehindAfter.
