core/gateway: departures that are learned from others are bounded

What callers saw: clients that sent state messages with departures took the memory of the process. Cause: each departure of an unknown target was kept for a minute. Change: at most 4,096 of them; departures that the store shows, and those of targets in use, count always.

--- a/core/gateway/bounds_test.go
+++ b/core/gateway/bounds_test.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// Guards against a table of departures that grows with forged messages.
+func TestLearnedDeparturesAreBounded(t *testing.T) {
+	h := newHarness(t)
+	for i := range 200 {
+		message := StateMessage{Sender: otherMember(0)}
+		for j := range 50 {
+			message.Departures = append(message.Departures, Departure{Target: model.TargetID(fmt.Sprintf("t%d", 50*i+j)), StartedAtMillis: 1, Report: 1})
+		}
+		h.step(StateReceived{State: message})
+	}
+	h.tick()
+	if n := len(h.g.departures); n != maxDepartures {
+		t.Errorf("got %d departures, want %d", n, maxDepartures)
+	}
+}
+
 // Guards against requests that are kept until their deadline after they have been answered.
 func TestAnsweredRequestsAreNotKept(t *testing.T) {
 	h := newHarness(t)
--- a/core/gateway/departures.go
+++ b/core/gateway/departures.go
@@ -143,6 +143,7 @@
 		t, d := g.targets[n.Target], g.departures[n.Target]
 		switch {
 		case t != nil && learned.supersededBy(t.Target):
+		case d == nil && t == nil && len(g.departures) >= maxDepartures:
 		case d == nil:
 			g.departures[learned.ID] = learned
 			if t != nil {
--- a/core/gateway/limits.go
+++ b/core/gateway/limits.go
@@ -141,6 +141,9 @@
 	// unrenewedEntryTime is above the time after which the store removes an entry that is not
 	// renewed: three report intervals of 1.2 s.
 	unrenewedEntryTime = 10 * time.Second
+	// maxDepartures bounds the departures that are learned from other instances: several times
+	// the targets of an installation of the target size that leave within departureMemory.
+	maxDepartures = 4096
 	// departureQueryRounds is the number of rounds of state messages after the start, and after
 	// a complete read, that ask for departures.
 	departureQueryRounds = 3
