--- a/node/api/server.go
+++ b/node/api/server.go
@@ -34,6 +34,8 @@
 	DumpTrace func(io.Writer) error
 	Metrics   *telemetry.Metrics
 	Spans     *telemetry.Spans
+	// MaxConnections bounds the open connections; 0 sets no bound.
+	MaxConnections int
 }
 
 // Server is the HTTP server. HandleOutput and ApplySet are called by the event loop
@@ -54,6 +56,7 @@
 func New(cfg Config, l callers.TCPListener) *Server {
 	s := &Server{cfg: cfg, calls: newPendingCalls()}
 	connections := callers.NewConnections(readHeaderTimeout, func() time.Duration { return idleTimeout })
+	connections.Limits = callers.Limits{MaxConnections: cfg.MaxConnections}
 	s.listener = callers.Listener{DrainingListener: callers.NewDrainingListener(l), Connections: connections}
 	s.ready.Store(&model.Ready{Reason: "the instance has just started"})
 	s.bodyLimit.Store(int64(objects.DefaultLimits().MaxBodyBytes))
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -29,6 +29,9 @@
 	// peerBudget is the memory for messages of instances that are arriving: one message of the
 	// largest size and a quarter of one more.
 	peerBudget = 80 << 20
+	// callerDescriptorShare is the share of the descriptors of the process that the connections
+	// of callers may take.
+	callerDescriptorShare = 0.5
 	// peerConnections bounds the connections of other instances, and peerDescriptorShare is the
 	// share of the descriptors that they may take.
 	peerConnections     = 1024
@@ -126,7 +129,8 @@
 	})
 	d.metrics.SetQueueLength(d.loop.Queued)
 	submit := d.loop.Submit
-	d.api = api.New(api.Config{Core: d.coreCfg, Submit: submit, DumpTrace: d.ring.Dump, Metrics: d.metrics, Spans: d.spans}, d.httpListener.(*net.TCPListener))
+	d.api = api.New(api.Config{Core: d.coreCfg, Submit: submit, DumpTrace: d.ring.Dump, Metrics: d.metrics, Spans: d.spans,
+		MaxConnections: callers.MaxConnections(s.MaxConnections, callerDescriptorShare)}, d.httpListener.(*net.TCPListener))
 	d.backend = backend.New(backend.Config{Submit: submit, BootTime: clock.Boot, Spans: d.spans, Metrics: d.metrics})
 	peerCfg := peer.Config{Self: d.coreCfg.Self, Incarnation: d.coreCfg.Incarnation, Submit: submit, BootTime: clock.Boot, Log: d.log, Metrics: d.metrics}
 	d.links, d.peerServer = peer.NewLinks(peerCfg), peer.NewServer(peerCfg, peer.NewGuard(callers.MaxConnections(peerConnections, peerDescriptorShare), memory.NewBudget(peerBudget)))
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -77,6 +77,9 @@
 	// InstancesURL and InstancesService locate the platform's instance list.
 	InstancesURL     string `json:"instances_url"`
 	InstancesService string `json:"instances_service"`
+	// MaxConnections bounds the connections that callers may have open. They also take at
+	// most half of the descriptors of the process.
+	MaxConnections int `json:"max_connections"`
 	// Policy is "full", or the name of a baseline policy for measurements.
 	Policy model.Policy `json:"policy"`
 	// Seed is the seed of the core's random number generators; 0 takes a seed
@@ -112,6 +115,7 @@
 		FixedHedgeDelay:  Duration(10 * time.Millisecond),
 		BalancerDelay:    Duration(3 * time.Second),
 		StopTimeout:      Duration(20 * time.Second),
+		MaxConnections:   DefaultMaxConnections,
 		LogLevel:         "info",
 		Spans:            Spans{SpanExporter: ExporterNone},
 		TraceRing:        4096,
@@ -186,7 +190,8 @@
 		"http_listen": &s.HTTPListen, "grpc_listen": &s.GRPCListen,
 		"config_url": &s.ConfigURL, "config_key": &s.ConfigKey,
 		"instances_url": &s.InstancesURL, "instances_service": &s.InstancesService,
-		"policy": &s.Policy, "seed": &s.Seed, "fixed_hedge_delay": &s.FixedHedgeDelay,
+		"max_connections": &s.MaxConnections,
+		"policy":          &s.Policy, "seed": &s.Seed, "fixed_hedge_delay": &s.FixedHedgeDelay,
 		"balancer_delay": &s.BalancerDelay, "stop_timeout": &s.StopTimeout,
 		"log_level": &s.LogLevel, "span_exporter": &s.SpanExporter, "span_file": &s.SpanFile,
 		"trace_ring": &s.TraceRing,
--- a/node/settings/validate.go
+++ b/node/settings/validate.go
@@ -63,6 +63,7 @@
 	c.checkNotEmpty("instances_service", s.InstancesService)
 	c.checkOneOf("policy", string(s.Policy), string(model.PolicyFull), string(model.PolicyNaive),
 		string(model.PolicyFixedHedge), string(model.PolicyNoSharing))
+	c.checkPositive("max_connections", s.MaxConnections)
 	c.checkDuration("fixed_hedge_delay", s.FixedHedgeDelay, 0)
 	if s.Policy == model.PolicyFixedHedge && s.FixedHedgeDelay == 0 {
 		c.report("fixed_hedge_delay", "give the delay of the baseline, for example 10ms", "is 0 with the policy %q", s.Policy)
