api: heads and bodies of calls at galenadyked run share a bounded memory

What callers saw: a process over the memory of its machine when many clients send heads or bodies within the limits at once. Cause: each head and body was bounded, all of them together were not, and galenadyked run knew no bound on its memory. A call without room is refused with 503 before anything is run, or the largest transfer ends.

--- a/node/api/handlers.go
+++ b/node/api/handlers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenadyke.dev/core/model"
+	"galenadyke.dev/node/memory"
 	"galenadyke.dev/node/telemetry"
 )
 
@@ -18,6 +19,14 @@
 	name      string // kind of call, such as telemetry.CallSearch
 	id        string // request id
 	arrivedAt time.Time
+	hold      *memory.Hold // the memory of the body, nil without one
+}
+
+// release gives back the memory of the call.
+func (c *call) release() {
+	if c.hold != nil {
+		c.hold.Release()
+	}
 }
 
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, name string) call {
@@ -81,9 +90,10 @@
 
 func (s *Server) search(w http.ResponseWriter, r *http.Request) {
 	c := s.newCall(w, r, telemetry.CallSearch)
+	defer c.release()
 	var req searchRequest
 	limit := int(s.bodyLimit.Load())
-	if e := readBody(w, r, limit+maxEnvelopeBytes, &req); e != nil {
+	if e := c.readBody(limit+maxEnvelopeBytes, &req); e != nil {
 		c.refuse(e)
 		return
 	}
@@ -109,9 +119,10 @@
 
 func (s *Server) book(w http.ResponseWriter, r *http.Request) {
 	c := s.newCall(w, r, telemetry.CallBook)
+	defer c.release()
 	var req bookRequest
 	limit := int(s.bodyLimit.Load())
-	if e := readBody(w, r, limit+maxEnvelopeBytes, &req); e != nil {
+	if e := c.readBody(limit+maxEnvelopeBytes, &req); e != nil {
 		c.refuse(e)
 		return
 	}
@@ -141,8 +152,9 @@
 
 func (s *Server) bookingIDs(w http.ResponseWriter, r *http.Request) {
 	c := s.newCall(w, r, telemetry.CallBookingIDs)
+	defer c.release()
 	var req bookingIDsRequest
-	if e := readBody(w, r, maxEnvelopeBytes, &req); e != nil {
+	if e := c.readBody(maxEnvelopeBytes, &req); e != nil {
 		c.refuse(e)
 		return
 	}
--- a/node/api/request.go
+++ b/node/api/request.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"galenadyke.dev/core/model"
+	"galenadyke.dev/node/memory"
 )
 
 const (
@@ -22,6 +23,9 @@
 	maxDeadline = 24 * time.Hour
 	// bodyReadTimeout bounds the time to read the body of a request.
 	bodyReadTimeout = 10 * time.Second
+	// bodyCopies is the number of copies of a body beside the one that is read: decoded, and
+	// sent to targets.
+	bodyCopies = 2
 	// maxRequestIDBytes bounds the request id, which is sent with each sub-request.
 	maxRequestIDBytes = 128
 	// maxBookingIDs bounds count in POST /v1/booking-ids.
@@ -46,17 +50,28 @@
 }
 
 // readBody reads a request of at most limit bytes and decodes it into dst. It
-// refuses unknown fields, because a misspelt field would be silently ignored.
-func readBody(w http.ResponseWriter, r *http.Request, limit int, dst any) *model.Error {
+// refuses unknown fields, because a misspelt field would be silently ignored. The memory of
+// the request is released when the call ends.
+func (c *call) readBody(limit int, dst any) *model.Error {
 	// The read deadline is removed after the body. Otherwise it would end the wait
 	// for the answer as if the caller had disconnected. A ResponseWriter without a
 	// connection has no read deadline, so the errors are ignored.
-	controller := http.NewResponseController(w)
+	controller := http.NewResponseController(c.w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	c.hold = c.s.cfg.Memory.Hold(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+	raw, err := memory.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)), c.r.ContentLength, int64(limit), c.hold)
+	if err == nil {
+		err = c.hold.Grow(int64(bodyCopies * len(raw)))
+	}
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var exceeded *memory.ExceededError
+	if errors.As(err, &exceeded) {
+		c.w.Header().Set("Connection", "close")
+		return refusal(model.KindTooManyCalls, "the instance has no memory for the request; send it again later")
+	}
+	if errors.As(err, &tooLarge) || errors.Is(err, memory.ErrTooLong) {
+		c.w.Header().Set("Connection", "close")
 		return refusal(model.KindBodyTooLarge, fmt.Sprintf("the request is larger than %d bytes; send less, or raise max_body_bytes of the published limits", limit))
 	}
 	if err != nil {
--- a/node/api/server.go
+++ b/node/api/server.go
@@ -13,6 +13,7 @@
 	"galenadyke.dev/core/model"
 	"galenadyke.dev/core/objects"
 	"galenadyke.dev/node/callers"
+	"galenadyke.dev/node/memory"
 	"galenadyke.dev/node/telemetry"
 )
 
@@ -34,7 +35,8 @@
 	DumpTrace func(io.Writer) error
 	Metrics   *telemetry.Metrics
 	Spans     *telemetry.Spans
-	// MaxConnections bounds the open connections; 0 sets no bound.
+	// Memory bounds the memory of heads and bodies, MaxConnections the open connections.
+	Memory         *memory.Budget
 	MaxConnections int
 }
 
@@ -56,7 +58,7 @@
 func New(cfg Config, l callers.TCPListener) *Server {
 	s := &Server{cfg: cfg, calls: newPendingCalls()}
 	connections := callers.NewConnections(readHeaderTimeout, func() time.Duration { return idleTimeout })
-	connections.Limits = callers.Limits{MaxConnections: cfg.MaxConnections}
+	connections.Limits = callers.Limits{MaxConnections: cfg.MaxConnections, MaxHeadBytes: func() int { return maxHeaderBytes }, Memory: cfg.Memory}
 	s.listener = callers.Listener{DrainingListener: callers.NewDrainingListener(l), Connections: connections}
 	s.ready.Store(&model.Ready{Reason: "the instance has just started"})
 	s.bodyLimit.Store(int64(objects.DefaultLimits().MaxBodyBytes))
--- a/node/api/server_test.go
+++ b/node/api/server_test.go
@@ -16,6 +16,7 @@
 
 	"galenadyke.dev/core/model"
 	"galenadyke.dev/core/objects"
+	"galenadyke.dev/node/memory"
 	"galenadyke.dev/node/settings"
 	"galenadyke.dev/node/telemetry"
 )
@@ -42,7 +43,7 @@
 	}
 	h := &harness{}
 	h.Server = New(Config{
-		Core: model.CoreConfig{Self: "a", Incarnation: 1, Place: "ikeja"}, Metrics: telemetry.NewMetrics(), Spans: spans,
+		Core: model.CoreConfig{Self: "a", Incarnation: 1, Place: "ikeja"}, Metrics: telemetry.NewMetrics(), Spans: spans, Memory: memory.NewBudget(1 << 20),
 		DumpTrace: func(w io.Writer) error { _, err := io.WriteString(w, "{}\n"); return err },
 		Submit: func(in model.Input) bool {
 			h.inputs = append(h.inputs, in)
--- a/node/api/stop_test.go
+++ b/node/api/stop_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"galenadyke.dev/node/memory"
 	"galenadyke.dev/node/telemetry"
 )
 
@@ -25,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(Config{Metrics: telemetry.NewMetrics()}, gatedListener{l.(*net.TCPListener), acceptDelay, gate})
+	s := New(Config{Metrics: telemetry.NewMetrics(), Memory: memory.NewBudget(1 << 20)}, gatedListener{l.(*net.TCPListener), acceptDelay, gate})
 	ended := make(chan error, 1)
 	go func() { ended <- s.Start() }()
 	stop = func() {
@@ -204,7 +205,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(Config{Metrics: telemetry.NewMetrics()}, l.(*net.TCPListener))
+	s := New(Config{Metrics: telemetry.NewMetrics(), Memory: memory.NewBudget(1 << 20)}, l.(*net.TCPListener))
 	_ = l.Close()
 	if err := s.Start(); err == nil {
 		t.Error("Start on a closed listener: got no error")
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -26,9 +26,13 @@
 )
 
 const (
-	// peerBudget is the memory for messages of instances that are arriving: one message of the
-	// largest size and a quarter of one more.
-	peerBudget = 80 << 20
+	// callerMemoryShare is the share of the setting memory_mb that the heads and bodies of calls
+	// may take, and peerMemoryShare that of messages of instances that are arriving. Without the
+	// setting they are shares of defaultMemoryMB, in which a message of the largest size has
+	// room.
+	callerMemoryShare = 0.1875
+	peerMemoryShare   = 0.3125
+	defaultMemoryMB   = 256
 	// callerDescriptorShare is the share of the descriptors of the process that the connections
 	// of callers may take.
 	callerDescriptorShare = 0.5
@@ -38,6 +42,14 @@
 	peerDescriptorShare = 0.25
 )
 
+// newBudget returns a budget of a share of the setting memory_mb.
+func newBudget(memoryMB int, share float64) *memory.Budget {
+	if memoryMB == 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return memory.NewBudget(int64(share * float64(memoryMB) * (1 << 20)))
+}
+
 // Daemon is one running instance.
 type Daemon struct {
 	coreCfg         model.CoreConfig
@@ -130,10 +142,10 @@
 	d.metrics.SetQueueLength(d.loop.Queued)
 	submit := d.loop.Submit
 	d.api = api.New(api.Config{Core: d.coreCfg, Submit: submit, DumpTrace: d.ring.Dump, Metrics: d.metrics, Spans: d.spans,
-		MaxConnections: callers.MaxConnections(s.MaxConnections, callerDescriptorShare)}, d.httpListener.(*net.TCPListener))
+		Memory: newBudget(s.MemoryMB, callerMemoryShare), MaxConnections: callers.MaxConnections(s.MaxConnections, callerDescriptorShare)}, d.httpListener.(*net.TCPListener))
 	d.backend = backend.New(backend.Config{Submit: submit, BootTime: clock.Boot, Spans: d.spans, Metrics: d.metrics})
 	peerCfg := peer.Config{Self: d.coreCfg.Self, Incarnation: d.coreCfg.Incarnation, Submit: submit, BootTime: clock.Boot, Log: d.log, Metrics: d.metrics}
-	d.links, d.peerServer = peer.NewLinks(peerCfg), peer.NewServer(peerCfg, peer.NewGuard(callers.MaxConnections(peerConnections, peerDescriptorShare), memory.NewBudget(peerBudget)))
+	d.links, d.peerServer = peer.NewLinks(peerCfg), peer.NewServer(peerCfg, peer.NewGuard(callers.MaxConnections(peerConnections, peerDescriptorShare), newBudget(s.MemoryMB, peerMemoryShare)))
 	d.configReader = platform.NewConfigReader(s.ConfigURL, s.ConfigKey, submit, d.log, d.metrics)
 	d.instanceWatcher = platform.NewInstanceWatcher(s.InstancesURL, s.InstancesService, submit, d.log, d.metrics)
 }
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -14,6 +15,10 @@
 // complete the graceful stop.
 const stopGrace = 2 * time.Second
 
+// heapShare is the fraction of the setting memory_mb that becomes the soft memory limit of the
+// Go runtime. The rest is for buffers of the system and the program itself.
+const heapShare = 0.6
+
 // Run runs an instance until SIGTERM or SIGINT, or until a server fails. It returns the
 // exit status: 0 after a complete graceful stop, and 1 if the start or a server fails or
 // the stop is not complete in time. A second signal ends the process at once, with status
@@ -21,6 +26,9 @@
 func Run(s settings.Settings) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryMB) * (1 << 20)))
+	}
 	d, err := New(s, os.Stderr)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -77,8 +77,10 @@
 	// InstancesURL and InstancesService locate the platform's instance list.
 	InstancesURL     string `json:"instances_url"`
 	InstancesService string `json:"instances_service"`
-	// MaxConnections bounds the connections that callers may have open. They also take at
+	// MemoryMB is the memory that the process may use, in units of 2^20 bytes; 0 sets no
+	// limit. MaxConnections bounds the connections that callers may have open. They also take at
 	// most half of the descriptors of the process.
+	MemoryMB       int `json:"memory_mb"`
 	MaxConnections int `json:"max_connections"`
 	// Policy is "full", or the name of a baseline policy for measurements.
 	Policy model.Policy `json:"policy"`
@@ -115,6 +117,7 @@
 		FixedHedgeDelay:  Duration(10 * time.Millisecond),
 		BalancerDelay:    Duration(3 * time.Second),
 		StopTimeout:      Duration(20 * time.Second),
+		MemoryMB:         256,
 		MaxConnections:   DefaultMaxConnections,
 		LogLevel:         "info",
 		Spans:            Spans{SpanExporter: ExporterNone},
@@ -190,8 +193,8 @@
 		"http_listen": &s.HTTPListen, "grpc_listen": &s.GRPCListen,
 		"config_url": &s.ConfigURL, "config_key": &s.ConfigKey,
 		"instances_url": &s.InstancesURL, "instances_service": &s.InstancesService,
-		"max_connections": &s.MaxConnections,
-		"policy":          &s.Policy, "seed": &s.Seed, "fixed_hedge_delay": &s.FixedHedgeDelay,
+		"memory_mb": &s.MemoryMB, "max_connections": &s.MaxConnections,
+		"policy": &s.Policy, "seed": &s.Seed, "fixed_hedge_delay": &s.FixedHedgeDelay,
 		"balancer_delay": &s.BalancerDelay, "stop_timeout": &s.StopTimeout,
 		"log_level": &s.LogLevel, "span_exporter": &s.SpanExporter, "span_file": &s.SpanFile,
 		"trace_ring": &s.TraceRing,
--- a/node/settings/validate.go
+++ b/node/settings/validate.go
@@ -63,6 +63,7 @@
 	c.checkNotEmpty("instances_service", s.InstancesService)
 	c.checkOneOf("policy", string(s.Policy), string(model.PolicyFull), string(model.PolicyNaive),
 		string(model.PolicyFixedHedge), string(model.PolicyNoSharing))
+	c.checkNotNegative("memory_mb", float64(s.MemoryMB))
 	c.checkPositive("max_connections", s.MaxConnections)
 	c.checkDuration("fixed_hedge_delay", s.FixedHedgeDelay, 0)
 	if s.Policy == model.PolicyFixedHedge && s.FixedHedgeDelay == 0 {
