api: callers of galenadyked run have a time for each body and answer

What callers saw: nothing; a client kept a connection and a goroutine for ever with a body that no handler reads, the rest of a refused body, or an answer that it does not read. Cause: the read deadline was removed after a refusal, there was none for bodies that are not read, and none for writes. Change: 10 s for a request without a reader, 1 s for the rest after a refusal, 10 s for each write. Evidence: TestRefusedCallDoesNotWaitForItsBody failed on the commit before (i/o timeout after 10 s) and passes; the cases of TestRunSurvivesCallers with unread bodies and answers hold as before.

--- a/node/api/request.go
+++ b/node/api/request.go
@@ -23,6 +23,8 @@
 	maxDeadline = 24 * time.Hour
 	// bodyReadTimeout bounds the time to read the body of a request.
 	bodyReadTimeout = 10 * time.Second
+	// refusedBodyTime bounds the time to read the rest of a body after a refusal.
+	refusedBodyTime = time.Second
 	// bodyCopies is the number of copies of a body beside the one that is read: decoded, and
 	// sent to targets.
 	bodyCopies = 2
@@ -63,7 +65,12 @@
 	if err == nil {
 		err = c.hold.Grow(int64(bodyCopies * len(raw)))
 	}
-	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		// After the answer net/http reads the rest of the body.
+		_ = controller.SetReadDeadline(time.Now().Add(refusedBodyTime))
+	} else {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	var exceeded *memory.ExceededError
 	if errors.As(err, &exceeded) {
--- a/node/api/server.go
+++ b/node/api/server.go
@@ -21,7 +21,12 @@
 	// readHeaderTimeout bounds the time to read the headers of a request.
 	readHeaderTimeout = 5 * time.Second
 	// idleTimeout bounds the wait for the next request on a connection.
-	idleTimeout    = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
+	// readTimeout bounds the time to read a request whose body no handler reads. It is longer
+	// than any call without a body.
+	readTimeout = 10 * time.Second
+	// writeTimeout bounds the time that a caller takes to accept a write.
+	writeTimeout   = 10 * time.Second
 	maxHeaderBytes = 32 << 10
 )
 
@@ -58,7 +63,8 @@
 func New(cfg Config, l callers.TCPListener) *Server {
 	s := &Server{cfg: cfg, calls: newPendingCalls()}
 	connections := callers.NewConnections(readHeaderTimeout, func() time.Duration { return idleTimeout })
-	connections.Limits = callers.Limits{MaxConnections: cfg.MaxConnections, MaxHeadBytes: func() int { return maxHeaderBytes }, Memory: cfg.Memory}
+	connections.Limits = callers.Limits{MaxConnections: cfg.MaxConnections, MaxHeadBytes: func() int { return maxHeaderBytes },
+		Memory: cfg.Memory, WriteTimeout: writeTimeout}
 	s.listener = callers.Listener{DrainingListener: callers.NewDrainingListener(l), Connections: connections}
 	s.ready.Store(&model.Ready{Reason: "the instance has just started"})
 	s.bodyLimit.Store(int64(objects.DefaultLimits().MaxBodyBytes))
@@ -69,7 +75,8 @@
 		khttp.NotFoundHandler(http.HandlerFunc(s.notFound)),
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(s.wrongMethod)),
 	)
-	s.http.ReadHeaderTimeout = readHeaderTimeout
+	s.http.ReadHeaderTimeout, s.http.ReadTimeout = readHeaderTimeout, readTimeout
+	s.http.IdleTimeout = -1 // connections closes idle ones
 	s.http.ConnState = connections.ConnState
 	s.http.MaxHeaderBytes = maxHeaderBytes
 	s.routes()
