gateway: an answer with a status below 100 is broken

What callers saw: a server's answer with status 000 did not reach them, but what followed it on the connection did, as the answer, also if it belonged to no request; without anything behind it the request waited for its deadline. Cause: net/http reads any three digits as a status, and every status below 200 was skipped as informational. Change: a status below 100 ends the attempt as broken, which may have run, and closes the connection.

--- a/node/backend/backend_test.go
+++ b/node/backend/backend_test.go
@@ -411,3 +411,41 @@
 		}
 	})
 }
+
+// Guards against an answer whose status is no status of HTTP, and against a next request on its
+// connection, where other bytes may follow.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+			}
+			if n == 1 {
+				_, _ = io.WriteString(c, "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(bookingAnswer), bookingAnswer)
+			defer c.Close() //nolint:revive // open until the end of the test, so that it can be used again
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close(); <-done })
+	h := newHarness(t)
+	h.Send(booking(l.Addr().String()))
+	if got := h.reply(t); got.Error != model.KindTargetAnswer || got.Execution != model.Unknown {
+		t.Errorf("got error %v, execution %v, want the error of a wrong answer, which may have run", got.Error, got.Execution)
+	}
+	h.Send(booking(l.Addr().String()))
+	if got := h.reply(t); got.Error != model.KindNone || h.opened.Load() != 2 {
+		t.Errorf("next request: got error %v, %d connections, want an answer on a new connection", got.Error, h.opened.Load())
+	}
+}
--- a/node/gateway/upstream.go
+++ b/node/gateway/upstream.go
@@ -243,8 +243,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("status %d is not an answer", resp.StatusCode)
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("status %03d is not an answer", resp.StatusCode)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
--- a/node/gateway/upstream_test.go
+++ b/node/gateway/upstream_test.go
@@ -488,3 +488,25 @@
 		t.Fatal("the attempt did not end within 10 s of its cancellation")
 	}
 }
+
+// Guards against an answer whose status is no status of HTTP, and against taking what follows it
+// on the connection for the answer to this request or to the next.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+00"} {
+		for _, rest := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\noops", "\r\n"} {
+			target := startTarget(t, func(conn, n int) string {
+				if conn == 1 && n == 1 {
+					return "HTTP/1.1 " + status + " Trouble\r\nX-Id: a\r\nX-Stamp: st\r\n" + rest + okAnswer("a", "12345")
+				}
+				return okAnswer("b", "67890")
+			})
+			s := newTestUpstream()
+			if ended, rep := s.send(target, "GET", "a", ""); ended.Outcome != gateway.OutcomeBroken || rep != nil {
+				t.Errorf("status %s, %q: got outcome %v (%s), answer %v, want broken without an answer", status, rest, ended.Outcome, ended.Cause, rep != nil)
+			}
+			if ended, rep := s.send(target, "GET", "b", ""); ended.Outcome != gateway.OutcomeSuccess || ended.Reused || string(rep.body) != "67890" {
+				t.Errorf("status %s, %q: next request: got outcome %v (%s), reused %v, want success on a new connection", status, rest, ended.Outcome, ended.Cause, ended.Reused)
+			}
+		}
+	}
+}
