core/query: the memory of issued booking ids is bounded

What callers saw: nothing in calm; a client that calls POST /v1/booking-ids without end made an instance grow for 20 minutes. Cause: each call adds a batch that is kept for twice the validity of its ids, whatever their number. An instance of the target size keeps 20 MB. Evidence: TestIssuedBookingIDsAreBounded failed on the code before (no refusal after 48 MiB) and passes; ids are issued again once the old ones have been forgotten. Not shown with processes: a client needs over a minute for the memory of a machine.

--- a/core/query/issue.go
+++ b/core/query/issue.go
@@ -5,12 +5,20 @@
 // maxIDsPerCall is the largest number of booking ids that one call may request.
 const maxIDsPerCall = 10_000
 
+// maxBatchBytes bounds the memory of the ids that have been issued and not been forgotten. An
+// instance of the target size keeps 20 MB: 235 bookings a second, each with one id that is kept
+// for twice the default time of its validity.
+const maxBatchBytes = 24 << 20
+
 // handleIssueBookingIDs answers a call for new booking ids.
 func (e *Engine) handleIssueBookingIDs(in model.IssueBookingIDs) {
 	err := e.checkAcceptsCalls()
 	if in.Count < 1 || in.Count > maxIDsPerCall {
 		err = refusalError(model.KindBadRequest, "count must be from 1 to 10000")
 	}
+	if err == nil && e.ledger.bytes+batchBytes(in.Count) > maxBatchBytes {
+		err = refusalError(model.KindTooManyCalls, "too many booking ids have been issued; use those that you have, or repeat the call later")
+	}
 	if err != nil {
 		e.emit(model.BookingIDs{Call: in.Call, Error: err})
 		return
--- a/core/query/ledger.go
+++ b/core/query/ledger.go
@@ -17,6 +17,7 @@
 	issued     uint64  // counter of the last issued id
 	batches    []batch // in order of issue; those before firstValid have expired
 	firstValid int     // index of the first batch that has not expired
+	bytes      int     // memory of the batches
 
 	handovers        map[owner]*bookingHandover
 	handoverExpiries []expiry[owner]
@@ -56,12 +57,16 @@
 	l.timer = t.create(timerLedger, none)
 }
 
+// batchBytes is the memory of a batch of count ids.
+func batchBytes(count int) int { return 64 + (count+63)/64*8 }
+
 // issueIDs issues count booking ids that are valid for ttl and returns the counter
 // of the first id.
 func (l *ledger) issueIDs(count int, now, ttl time.Duration) uint64 {
 	first := l.issued + 1
 	l.issued += uint64(count)
 	l.ttl = ttl
+	l.bytes += batchBytes(count)
 	l.batches = append(l.batches, batch{
 		first: first, last: l.issued, expiresAt: now + ttl, used: make([]uint64, (count+63)/64),
 	})
@@ -169,6 +174,7 @@
 		l.firstValid++
 	}
 	for l.firstValid > 0 && l.batches[0].expiresAt+l.ttl <= e.now {
+		l.bytes -= batchBytes(int(l.batches[0].last - l.batches[0].first + 1))
 		l.batches = l.batches[1:]
 		l.firstValid--
 	}
--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -129,6 +129,33 @@
 	}
 }
 
+// Guards against booking ids that are issued without end and take the memory of the instance,
+// and against ids that are never issued again.
+func TestIssuedBookingIDsAreBounded(t *testing.T) {
+	s := newSim(1, 1, 1, 1, model.PolicyFull)
+	n := s.nodes[0]
+	const call = model.CallID(7)
+	issue := func(count int) *model.Error {
+		delete(s.answers, call)
+		n.step(model.IssueBookingIDs{Call: call, Count: count})
+		return s.answers[call][0].(model.BookingIDs).Error
+	}
+	issued := 0
+	for issued < 2*maxBatchBytes && issue(maxIDsPerCall) == nil {
+		issued += batchBytes(maxIDsPerCall)
+	}
+	if err := issue(maxIDsPerCall); err == nil || err.Kind != model.KindTooManyCalls || err.Execution != notRun {
+		t.Errorf("got error %v after %d bytes, want too many calls, not run", err, issued)
+	}
+	if n.e.ledger.bytes > maxBatchBytes {
+		t.Errorf("got %d bytes, want at most %d", n.e.ledger.bytes, maxBatchBytes)
+	}
+	s.run(2*n.e.limits.ReservationTTL + time.Minute)
+	if err := issue(1); err != nil || n.e.ledger.bytes != batchBytes(1) {
+		t.Errorf("after the ids have been forgotten: got error %v, %d bytes, want one batch", err, n.e.ledger.bytes)
+	}
+}
+
 // Guards against searches that miss groups when many targets change their lead or
 // are taken out at once: retries after refusals by instances of the tier must not
 // use up the retry budget.
