gateway: many followers get a large change at the same time

With it, followers beyond an eighth of memory_mb at 1 MiB each were refused a change of 32 KiB or more, and each of them would have looked for another source. Cause: the memory was kept until the next Send, up to 0.5 s, and a lack of it was an error at once. Change: the memory is given back when the connection has written the change, which is checked every 5 ms, and a change waits up to 0.5 s for memory. The extra message after a single change is gone.

--- a/node/gateway/follow.go
+++ b/node/gateway/follow.go
@@ -46,15 +46,14 @@
 			return err
 		}
 		if in.GetOnce() {
-			if sent.hold == nil {
-				return nil
-			}
-			// Returns once the follower has accepted the change or has left.
-			return sent.send(gateway.StoreChange{Era: change.Era, Revision: change.Revision, Lost: change.Lost, Age: change.Age})
+			return sent.awaitAccepted()
 		}
 		if since.Before(change.Position()) {
 			since = change.Position()
 		}
+		if err := sent.awaitAccepted(); err != nil {
+			return err
+		}
 		select {
 		case <-changed:
 		case <-heartbeat.C:
@@ -67,49 +66,88 @@
 }
 
 // sentChange is the latest change on a stream. gRPC keeps a message after Send until the
-// follower has accepted it, and delays the next Send until then.
+// follower has accepted it.
 type sentChange struct {
 	budget *memory.Budget
 	stream grpc.ServerStreamingServer[gatewaypb.Change]
 	hold   *memory.Hold // the memory of a change over minHeldChange, nil if there is none
+	// acceptedAt is the number of bytes on the connection at which the change has been written.
+	acceptedAt int64
 }
 
 const (
-	// minHeldChange is the size from which a change is taken from the budget. It is below what
-	// gRPC sends without waiting for the follower.
+	// minHeldChange is the size from which a change is taken from the budget.
 	minHeldChange = 32 << 10
 	// messageBufferBytes is the size of the buffers that gRPC takes for messages of that size.
 	messageBufferBytes = 1 << 20
+	// acceptCheckInterval is the time between two checks whether a change has been accepted, or
+	// whether there is memory for one. maxChangeWait bounds the wait for memory.
+	acceptCheckInterval = 5 * time.Millisecond
+	maxChangeWait       = 500 * time.Millisecond
 )
 
-// send sends a change. Its memory is taken until the next one has been sent.
+// send sends a change. Its memory is taken until awaitAccepted or release.
 func (c *sentChange) send(change gateway.StoreChange) error {
-	var hold *memory.Hold
 	if size := changeBytes(change); size >= minHeldChange {
-		hold = c.budget.Hold(func() { peer.CloseConnection(c.stream.Context()) })
-		if err := hold.Grow(max(size, messageBufferBytes)); err != nil {
-			hold.Release()
+		if err := c.take(max(size, messageBufferBytes)); err != nil {
+			return err
+		}
+		c.acceptedAt = peer.Written(c.stream.Context()) + size
+	}
+	return c.stream.Send(encodeChange(change))
+}
+
+// take takes memory from the budget. Many followers may need the same change at the same time,
+// so it waits for memory.
+func (c *sentChange) take(bytes int64) error {
+	for start := time.Now(); ; {
+		hold := c.budget.Hold(func() { peer.CloseConnection(c.stream.Context()) })
+		if hold.Grow(bytes) == nil {
+			c.hold = hold
+			return nil
+		}
+		if time.Since(start) > maxChangeWait {
 			return errNoMemory
 		}
+		if err := c.pause(); err != nil {
+			return err
+		}
+	}
+}
+
+// pause waits for acceptCheckInterval or the end of the stream.
+func (c *sentChange) pause() error {
+	select {
+	case <-time.After(acceptCheckInterval):
+		return nil
+	case <-c.stream.Context().Done():
+		return context.Cause(c.stream.Context())
+	}
+}
+
+// awaitAccepted waits until the change has been written, and gives its memory back.
+func (c *sentChange) awaitAccepted() error {
+	for c.hold != nil && peer.Written(c.stream.Context()) < c.acceptedAt {
+		if err := c.pause(); err != nil {
+			return err
+		}
 	}
-	err := c.stream.Send(encodeChange(change))
 	c.release()
-	c.hold = hold
-	return err
+	return nil
 }
 
 func (c *sentChange) release() {
 	if c.hold != nil {
 		c.hold.Release()
+		c.hold = nil
 	}
 }
 
-// changeBytes returns the approximate size of a change as a message.
+// changeBytes returns the size of the items of a change. The message is not shorter.
 func changeBytes(change gateway.StoreChange) int64 {
-	const itemBytes = 32
 	size := 0
 	for _, i := range change.Items {
-		size += itemBytes + len(i.Key) + len(i.Value)
+		size += len(i.Key) + len(i.Value)
 	}
 	return int64(size)
 }
--- a/node/peer/guard.go
+++ b/node/peer/guard.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/http2"
@@ -114,6 +115,8 @@
 	guard *Guard
 	key   string // address of the client
 
+	written atomic.Int64 // bytes written
+
 	mu sync.Mutex // guards the fields below
 	// calls are the calls in progress, receiving those of them that have not received their
 	// message, or that receive a stream of messages.
@@ -143,6 +146,13 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.guard.remove(c)
@@ -249,6 +259,15 @@
 	return context.WithValue(ctx, connKey{}, g.conns[info.RemoteAddr.String()])
 }
 
+// Written returns the number of bytes that have been written on the connection of the call with
+// the context.
+func Written(ctx context.Context) int64 {
+	if c, ok := ctx.Value(callKey{}).(*call); ok {
+		return c.conn.written.Load()
+	}
+	return 0
+}
+
 // CloseConnection closes the connection of the call with the context.
 func CloseConnection(ctx context.Context) {
 	if c, ok := ctx.Value(callKey{}).(*call); ok {
