core/gateway: the sender of a state message keeps its place while the message is handled

An instance ended with a nil pointer when its table of members was full and a sender without later news (the same heartbeat for over 8 s) named members that do not exist. Cause: one of these members replaced the sender, whose row was used afterwards. Change: a member whose message is being handled is not replaced.

--- a/core/gateway/bounds_test.go
+++ b/core/gateway/bounds_test.go
@@ -41,6 +41,23 @@
 	}
 }
 
+// Guards against a crash of the instance when the sender of a message, of whom there was no later
+// news, makes room for a member that the message names.
+func TestSenderIsKeptDuringItsMessage(t *testing.T) {
+	h := newHarness(t)
+	sender := MemberState{Name: "sender", Address: "127.0.0.1:1", Incarnation: 1, Heartbeat: 1, Era: 1, Revision: 100}
+	h.step(StateReceived{State: StateMessage{Sender: sender}})
+	h.run(memberLostAfter + time.Second)
+	message := StateMessage{Sender: sender}
+	for i := range maxMembers + 1 {
+		message.Members = append(message.Members, MemberState{Name: model.InstanceID(fmt.Sprintf("x%d", i)), Address: "127.0.0.1:1", Incarnation: 1, Heartbeat: 1})
+	}
+	h.step(StateReceived{State: message})
+	if h.g.members.byName[sender.Name] == nil || len(h.g.members.byName) != maxMembers {
+		t.Errorf("got sender known %v, %d members, want the sender among %d", h.g.members.byName[sender.Name] != nil, len(h.g.members.byName), maxMembers)
+	}
+}
+
 // Guards against a table of departures that grows with forged messages.
 func TestLearnedDeparturesAreBounded(t *testing.T) {
 	h := newHarness(t)
--- a/core/gateway/members.go
+++ b/core/gateway/members.go
@@ -335,6 +335,9 @@
 	}
 	var oldest *member
 	for _, m := range g.members.byName {
+		if m.directAt == g.now {
+			continue // its message is being handled
+		}
 		removable := !g.alive(m) || direct && m.directAt == 0
 		if removable && (oldest == nil || cmp.Or(cmp.Compare(m.heardAt, oldest.heardAt), cmp.Compare(m.Name, oldest.Name)) < 0) {
 			oldest = m
