gateway: calls of other instances beyond the memory are refused, not cut with their connection

What callers saw: nothing yet; found in reading the bounds of this address. An instance that gathers for many others would have lost a whole connection with all its calls when a slow service kept some thousand of them in progress, and small calls would have ended changes that were being sent. Cause: calls that are being handled counted against their connection, and changes shared the budget of calls. Change: the guard counts calls only until their message has arrived; then the call takes its memory itself, or fails as not run and its sender goes on by itself. Changes have a budget of their own, 1/16 of memory_mb, and one that is being written is ended only after a second.

--- a/node/gateway/bounds.go
+++ b/node/gateway/bounds.go
@@ -66,11 +66,13 @@
 	// fits into one packet; a longer one is refused.
 	maxStateMessageBytes = 1400
 	// bodyMemoryShare is the share of the setting memory_mb that the heads and bodies of all
-	// requests and answers in progress may take together, and peerMemoryShare that of the
-	// messages between instances. Without the setting they are shares of defaultMemoryMB.
-	bodyMemoryShare = 0.25
-	peerMemoryShare = 0.125
-	defaultMemoryMB = 256
+	// requests and answers in progress may take together, peerMemoryShare that of the calls of
+	// other instances, and changeMemoryShare that of the changes of the store that are being
+	// sent to them. Without the setting they are shares of defaultMemoryMB.
+	bodyMemoryShare   = 0.25
+	peerMemoryShare   = 0.125
+	changeMemoryShare = 0.0625
+	defaultMemoryMB   = 256
 )
 
 // A bound names what a boundError is about. The names are labels of gateway_over_bound.
--- a/node/gateway/daemon.go
+++ b/node/gateway/daemon.go
@@ -222,7 +222,8 @@
 		overBound: d.answerOverBound}
 	d.state = &stateLink{socket: socket, submit: submit, log: d.log, protect: d.protect}
 	d.store = p.OpenStore(s.Store, s.FirstStart, submit, d.log)
-	d.peers = &peerServer{store: d.store, callers: d.callers, memory: peerMemory, stopping: make(chan struct{})}
+	d.peers = &peerServer{store: d.store, callers: d.callers, memory: peerMemory,
+		changes: newBudget(s.MemoryMB, changeMemoryShare), stopping: make(chan struct{})}
 	d.peerServer = newPeerServer(d.peers, guard, grpc.UnaryInterceptor(d.protectUnary), grpc.StreamInterceptor(d.protectStream))
 	return nil
 }
--- a/node/gateway/follow.go
+++ b/node/gateway/follow.go
@@ -35,10 +35,15 @@
 // revision, or sends a single message if the follower asks for one. Each message is also a
 // heartbeat.
 func (s *peerServer) Follow(in *gatewaypb.FollowRequest, stream grpc.ServerStreamingServer[gatewaypb.Change]) error {
+	hold, err := s.takeCall(0)
+	if err != nil {
+		return err
+	}
+	defer hold.Release()
 	since := gateway.StorePosition{Era: in.GetEra(), Revision: in.GetRevision()}
 	heartbeat := time.NewTicker(followHeartbeat)
 	defer heartbeat.Stop()
-	sent := &sentChange{budget: s.memory, stream: stream}
+	sent := &sentChange{budget: s.changes, stream: stream}
 	defer sent.release()
 	for {
 		change, changed := s.store.Changes(since)
@@ -71,8 +76,10 @@
 	budget *memory.Budget
 	stream grpc.ServerStreamingServer[gatewaypb.Change]
 	hold   *memory.Hold // the memory of a change over minHeldChange, nil if there is none
-	// acceptedAt is the number of bytes on the connection at which the change has been written.
+	// acceptedAt is the number of bytes on the connection at which the change has been written,
+	// sentAt the time of Send.
 	acceptedAt int64
+	sentAt     time.Time
 }
 
 const (
@@ -84,6 +91,9 @@
 	// whether there is memory for one. maxChangeWait bounds the wait for memory.
 	acceptCheckInterval = 5 * time.Millisecond
 	maxChangeWait       = 500 * time.Millisecond
+	// stalledChangeAfter is how long a change may take to be written before it is ended if its
+	// memory is needed.
+	stalledChangeAfter = time.Second
 )
 
 // send sends a change. Its memory is taken until awaitAccepted or release.
@@ -92,7 +102,7 @@
 		if err := c.take(max(size, messageBufferBytes)); err != nil {
 			return err
 		}
-		c.acceptedAt = peer.Written(c.stream.Context()) + size
+		c.acceptedAt, c.sentAt = peer.Written(c.stream.Context())+size, time.Now()
 	}
 	return c.stream.Send(encodeChange(change))
 }
@@ -101,8 +111,8 @@
 // so it waits for memory.
 func (c *sentChange) take(bytes int64) error {
 	for start := time.Now(); ; {
-		hold := c.budget.Hold(func() { peer.CloseConnection(c.stream.Context()) })
-		if hold.Grow(bytes) == nil {
+		hold := c.budget.Hold(func() {})
+		if hold.Grow(bytes) == nil && hold.Finish() == nil {
 			c.hold = hold
 			return nil
 		}
@@ -127,10 +137,14 @@
 
 // awaitAccepted waits until the change has been written, and gives its memory back.
 func (c *sentChange) awaitAccepted() error {
-	for c.hold != nil && peer.Written(c.stream.Context()) < c.acceptedAt {
+	for resumed := false; c.hold != nil && peer.Written(c.stream.Context()) < c.acceptedAt; {
 		if err := c.pause(); err != nil {
 			return err
 		}
+		if !resumed && time.Since(c.sentAt) > stalledChangeAfter {
+			resumed = true
+			c.hold.Resume(func() { peer.CloseConnection(c.stream.Context()) })
+		}
 	}
 	c.release()
 	return nil
--- a/node/gateway/follow_test.go
+++ b/node/gateway/follow_test.go
@@ -26,7 +26,7 @@
 	store.Put("op/config", fmt.Sprintf(`{"version":1,"routes":[{"name":"one","hostname":"h","prefix":"/%s/","route_type":"safe",
 "timeout_ms":5000,"target_latency_ms":4000,"priority":1,"service":"a","max_attempts":2}],"services":[{"name":"a","max_connections":9}],"limits":{}}`,
 		strings.Repeat("x", 200<<10)))
-	_, s := startDaemon(t, "front-0", "ikeja", storeServer.URL, func(s *settings.Gateway) { s.MemoryMB = 64 }) // room for 8 changes
+	_, s := startDaemon(t, "front-0", "ikeja", storeServer.URL, func(s *settings.Gateway) { s.MemoryMB = 64 }) // room for 4 changes
 	requestStore(t, s.PeerListen, 1)
 	var followers sync.WaitGroup
 	for range 64 {
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -28,7 +28,7 @@
 	req.head, req.body, req.delegated = in.GetHead(), in.GetBody(), true
 	req.digest = gateway.RequestDigest(in.GetDigest())
 	defer req.release()
-	if err := s.takeMemory(req); err != nil {
+	if err := s.takeRequest(req); err != nil {
 		return err
 	}
 	// A reply reports at least one end, so the core never blocks on the channel.
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -107,8 +107,8 @@
 	gatewaypb.UnimplementedGatewayServer
 	store   Store
 	callers *callerServer
-	// memory bounds the memory of requests of other instances and of changes for them.
-	memory *memory.Budget
+	// memory bounds the memory of calls of other instances, changes that of changes for them.
+	memory, changes *memory.Budget
 	// stopping is closed when the instance stops. It ends the streams of followers.
 	stopping chan struct{}
 }
@@ -117,18 +117,26 @@
 // itself never uses its code.
 var errNoMemory = status.Error(codes.Aborted, "the instance has no memory for the call")
 
-// takeMemory takes the memory of a request of another instance until its release.
-func (s *peerServer) takeMemory(req *callerRequest) error {
+// takeCall takes the memory of a call with a message of the given size in bytes.
+func (s *peerServer) takeCall(bytes int) (*memory.Hold, error) {
 	hold := s.memory.Hold(func() {})
-	err := hold.Grow(int64(len(req.head) + len(req.body)))
+	err := hold.Grow(int64(peer.CallBytes + bytes))
 	if err == nil {
 		err = hold.Finish()
 	}
 	if err != nil {
-		return errNoMemory
+		return nil, errNoMemory
 	}
-	req.holds = append(req.holds, hold)
-	return nil
+	return hold, nil
+}
+
+// takeRequest takes the memory of a request of another instance until its release.
+func (s *peerServer) takeRequest(req *callerRequest) error {
+	hold, err := s.takeCall(len(req.head) + len(req.body))
+	if err == nil {
+		req.holds = append(req.holds, hold)
+	}
+	return err
 }
 
 // Gather implements gatewaypb.GatewayServer. It handles a delegated request.
@@ -142,7 +150,7 @@
 		Configuration: in.GetConfiguration(),
 	}}
 	defer req.release()
-	if err := s.takeMemory(req); err != nil {
+	if err := s.takeRequest(req); err != nil {
 		return nil, err
 	}
 	a, ok := s.callers.handle(ctx, req, in.GetTraceparent(), arrived)
--- a/node/peer/guard.go
+++ b/node/peer/guard.go
@@ -22,18 +22,18 @@
 	// maxCallsPerConnection bounds the calls in progress on a connection. Further calls wait at
 	// their sender.
 	maxCallsPerConnection = 256
-	// callBytes is the memory of a call with a head of maxCallHeadBytes, without its message.
-	callBytes = 24 << 10
+	// CallBytes is the memory of a call with a head of maxCallHeadBytes, without its message.
+	CallBytes = 24 << 10
 	// freeConnectionBytes is the memory of the calls and messages of a connection that is not
 	// taken from the budget: two calls.
-	freeConnectionBytes = 2 * callBytes
+	freeConnectionBytes = 2 * CallBytes
 	// frameBytes is the memory of a frame of HTTP/2 beside its payload.
 	frameBytes = 128
 )
 
 // Guard bounds what the clients of a gRPC server take: the number of their connections, and
-// the memory of calls in progress and of messages that have not arrived completely. The server
-// needs it as its stats.Handler, and the listener that Listen returns.
+// the memory of calls whose message has not arrived completely. The server needs it as its
+// stats.Handler, and the listener that Listen returns.
 type Guard struct {
 	maxConnections int
 	memory         *memory.Budget
@@ -132,9 +132,9 @@
 	closed  bool
 }
 
-// errOverBudget is the error of a connection that was closed because its calls and messages
-// took too much memory.
-var errOverBudget = errors.New("the calls of the connection take too much memory")
+// errOverBudget is the error of a connection that was closed because the messages that arrive on
+// it took too much memory.
+var errOverBudget = errors.New("the messages that arrive on the connection take too much memory")
 
 // Read implements net.Conn.
 func (c *guardedConn) Read(b []byte) (int, error) {
@@ -204,7 +204,7 @@
 
 // charge takes the memory of the connection from the budget. The caller holds mu.
 func (c *guardedConn) charge() error {
-	size := c.unread + int64(c.calls)*callBytes
+	size := c.unread + int64(c.receiving)*CallBytes
 	if size <= freeConnectionBytes || c.closed {
 		c.release()
 		return nil
--- a/node/peer/guard_test.go
+++ b/node/peer/guard_test.go
@@ -117,15 +117,22 @@
 	}
 }
 
-// Guards against calls whose heads take the memory of the process.
-func TestCallsTakeTheBudget(t *testing.T) {
-	h := newGuardHarness(8, freeConnectionBytes+4*callBytes)
+// Guards against calls without a message that take the memory of the process, and against closing
+// a connection for calls that are being handled.
+func TestCallsWithoutAMessageTakeTheBudget(t *testing.T) {
+	h := newGuardHarness(8, freeConnectionBytes+4*CallBytes)
 	_, raw, ctx := h.open("a")
+	for range 100 {
+		h.HandleRPC(h.begin(ctx, false), &stats.InPayload{WireLength: 1})
+	}
+	if raw.closed || h.budget.Used() != 0 {
+		t.Fatalf("got the connection closed %v, %d bytes taken by calls that are being handled", raw.closed, h.budget.Used())
+	}
 	calls := 0
 	for ; calls < 100 && !raw.closed; calls++ {
 		h.begin(ctx, false)
 	}
-	if want := freeConnectionBytes/callBytes + 5; calls != want {
+	if want := freeConnectionBytes/CallBytes + 5; calls != want {
 		t.Errorf("the connection was closed after %d calls, want %d", calls, want)
 	}
 }
