--- a/node/api/bounds_test.go
+++ b/node/api/bounds_test.go
@@ -25,7 +25,7 @@
 	go func() { ended <- s.Start() }()
 	defer func() {
 		_ = s.http.Close()
-		<-ended
+		_ = <-ended // the server was closed
 	}()
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
