memory: what was ended is in use until it has been released

Cause: the budget of a transfer that was ended was free at once, before the transfer had noticed. Change: its bytes stay in use until its release; the room for others is as before, but together with what is ending at most twice the limit is in use. The guard of the address for other instances releases the memory of a closed connection with the end of its last call.

--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -7,13 +7,15 @@
 )
 
 // Budget bounds the memory of all transfers in progress. A transfer that would exceed it ends
-// the largest transfer in progress, which may be itself.
+// the largest transfer in progress, which may be itself. The memory of a transfer that was ended
+// is in use until its Release; together with it, at most twice the limit is in use.
 type Budget struct {
 	limit int64
 
-	mu        sync.Mutex // guards the fields below and those of all holds
-	used      int64
-	transfers map[*Hold]struct{} // holds that may be ended
+	mu sync.Mutex // guards the fields below and those of all holds
+	// used is the sum of all holds, ending that of the holds that were ended.
+	used, ending int64
+	transfers    map[*Hold]struct{} // holds that may be ended
 }
 
 // NewBudget returns a budget of limit bytes.
@@ -24,13 +26,17 @@
 // Limit returns the size of the budget in bytes.
 func (b *Budget) Limit() int64 { return b.limit }
 
-// Used returns the bytes that are taken.
+// Used returns the bytes that are taken, those of transfers that were ended included.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.used
 }
 
+// full reports whether n more bytes exceed the limit, even if the transfers that were ended are
+// released in time.
+func (b *Budget) full(n int64) bool { return b.used-b.ending+n > b.limit }
+
 // ExceededError is the error of a transfer that was ended because the budget was used up.
 type ExceededError struct{ Limit int64 } // bytes
 
@@ -58,13 +64,14 @@
 }
 
 // Grow takes n more bytes. If they exceed the budget, the largest transfers in progress are
-// ended until the bytes fit or this transfer is the largest. Then, and after another transfer
-// has ended this one, the error is an ExceededError.
+// ended until the bytes fit or this transfer is the largest. Then, while too many transfers that
+// were ended have not been released, and after another transfer has ended this one, the error is
+// an ExceededError.
 func (h *Hold) Grow(n int64) error {
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for !h.aborted && b.used+n > b.limit {
+	for !h.aborted && b.full(n) {
 		largest := h
 		for other := range b.transfers {
 			if other.bytes > largest.bytes+n {
@@ -76,6 +83,9 @@
 			largest.abort()
 		}
 	}
+	if !h.aborted && b.used+n > 2*b.limit {
+		h.end()
+	}
 	if h.aborted {
 		return &ExceededError{b.limit}
 	}
@@ -84,11 +94,10 @@
 	return nil
 }
 
-// end marks a transfer as ended early and gives its bytes back. The caller holds the mutex.
+// end marks a transfer as ended early. The caller holds the mutex.
 func (h *Hold) end() {
 	h.aborted = true
-	h.budget.used -= h.bytes
-	h.bytes = 0
+	h.budget.ending += h.bytes
 	delete(h.budget.transfers, h)
 }
 
@@ -126,6 +135,9 @@
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	delete(h.budget.transfers, h)
+	if h.aborted {
+		h.budget.ending -= h.bytes
+	}
 	h.budget.used -= h.bytes
 	h.bytes = 0
 }
--- a/node/peer/guard.go
+++ b/node/peer/guard.go
@@ -158,7 +158,7 @@
 	c.guard.remove(c)
 	c.mu.Lock()
 	c.closed = true
-	c.release()
+	_ = c.charge() // a closed connection takes no more
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -202,10 +202,17 @@
 	return frames
 }
 
-// charge takes the memory of the connection from the budget. The caller holds mu.
+// charge takes the memory of the connection from the budget. That of a closed connection is
+// given back with the end of its last call. The caller holds mu.
 func (c *guardedConn) charge() error {
 	size := c.unread + int64(c.receiving)*CallBytes
-	if size <= freeConnectionBytes || c.closed {
+	if c.closed {
+		if c.calls == 0 {
+			c.release()
+		}
+		return nil
+	}
+	if size <= freeConnectionBytes {
 		c.release()
 		return nil
 	}
