memory: the transfer that is ended is the largest one

What callers saw: nothing that was measured; a transfer could be ended although a larger one was in progress. Cause: the bytes that the new transfer asks for were added to the size of each candidate, not only to that of the transfer that asks. The property test could not see it: it compared the bytes of a transfer after they had been given back. Change: the sizes are compared as they are; the test fails if any other transfer in progress is larger than the one that is ended.

--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -72,10 +72,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !h.aborted && b.full(n) {
-		largest := h
+		largest, size := h, h.bytes+n
 		for other := range b.transfers {
-			if other.bytes > largest.bytes+n {
-				largest = other
+			if other.bytes > size {
+				largest, size = other, other.bytes
 			}
 		}
 		largest.end()
--- a/node/memory/budget_test.go
+++ b/node/memory/budget_test.go
@@ -25,8 +25,8 @@
 				var opened *Hold
 				opened = b.Hold(func() {
 					for other, inProgress := range holds {
-						if inProgress && !other.aborted && other.bytes > 0 && opened.bytes > other.bytes {
-							t.Fatal("a transfer was ended that still holds bytes")
+						if inProgress && !other.aborted && other.bytes > opened.bytes {
+							t.Fatalf("a transfer of %d bytes was ended although one of %d is in progress", opened.bytes, other.bytes)
 						}
 					}
 				})
