gateway: the memory of a call is not ended before the call has it

What callers saw: nothing yet; found in reading the whole change. Cause: a call of another instance, and a change for one, took their memory as a transfer that others may end, and finished it in a second step. If a call in between needed the memory, the first one failed and its bytes stayed in use for ever, now that what was ended counts until its release. Change: Budget.Take takes bytes that nobody ends, in one step; both places use it. Evidence: TestTakenBytesAreNotEnded fails with the two steps (the taken bytes are ended) and passes with Take. Not shown with processes.

--- a/node/gateway/follow.go
+++ b/node/gateway/follow.go
@@ -111,8 +111,7 @@
 // so it waits for memory.
 func (c *sentChange) take(bytes int64) error {
 	for start := time.Now(); ; {
-		hold := c.budget.Hold(func() {})
-		if hold.Grow(bytes) == nil && hold.Finish() == nil {
+		if hold, err := c.budget.Take(bytes); err == nil {
 			c.hold = hold
 			return nil
 		}
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -119,11 +119,7 @@
 
 // takeCall takes the memory of a call with a message of the given size in bytes.
 func (s *peerServer) takeCall(bytes int) (*memory.Hold, error) {
-	hold := s.memory.Hold(func() {})
-	err := hold.Grow(int64(peer.CallBytes + bytes))
-	if err == nil {
-		err = hold.Finish()
-	}
+	hold, err := s.memory.Take(int64(peer.CallBytes + bytes))
 	if err != nil {
 		return nil, errNoMemory
 	}
--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -63,6 +63,16 @@
 	return h
 }
 
+// Take returns a hold of n bytes that is not ended in favour of others. They stay taken until
+// Release.
+func (b *Budget) Take(n int64) (*Hold, error) {
+	h := &Hold{budget: b}
+	if err := h.Grow(n); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
 // Grow takes n more bytes. If they exceed the budget, the largest transfers in progress are
 // ended until the bytes fit or this transfer is the largest. Then, while too many transfers that
 // were ended have not been released, and after another transfer has ended this one, the error is
--- a/node/memory/budget_test.go
+++ b/node/memory/budget_test.go
@@ -62,3 +62,25 @@
 		}
 	})
 }
+
+// Guards against bytes that are taken for a call and that another transfer ends, as nobody would
+// release them then.
+func TestTakenBytesAreNotEnded(t *testing.T) {
+	b := NewBudget(100)
+	taken, err := b.Take(60)
+	if err != nil {
+		t.Fatal(err)
+	}
+	smaller := b.Hold(func() {})
+	if smaller.Grow(50) == nil || taken.Aborted() {
+		t.Errorf("got the taken bytes ended %v, want the smaller transfer refused", taken.Aborted())
+	}
+	if _, err := b.Take(50); err == nil {
+		t.Error("got more bytes than the limit")
+	}
+	smaller.Release()
+	taken.Release()
+	if used := b.Used(); used != 0 {
+		t.Errorf("%d bytes are taken after the release, want 0", used)
+	}
+}
